--- /dev/null
+++ b/crates/agent/src/announce.rs
@@ -0,0 +1,66 @@
+//! HTTP for backend servers: announcing, renewing, leaving.
+
+use std::time::Duration;
+
+use flume::Sender;
+use rouille::{Request, Response};
+use rw_core::agent::Announcement;
+use rw_core::ids::Name;
+use rw_host::http;
+
+use crate::duty::Event;
+
+/// Requests served at once.
+pub const HTTP_THREADS: usize = 16;
+const MAX_ANNOUNCEMENT_BYTES: usize = 16 * 1024;
+const REPLY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Answers a request.
+pub fn handle(req: &Request, tx: &Sender<Event>, ready: bool) -> Response {
+    if let Some(response) = http::common(req, ready) {
+        return response;
+    }
+    let path = req.url();
+    match (req.method(), path.as_str()) {
+        ("PUT", "/v1/backend") => announce(req, tx),
+        ("DELETE", path) => match path.strip_prefix("/v1/backend/") {
+            Some(name) => withdraw(name, tx),
+            None => not_found(),
+        },
+        _ => not_found(),
+    }
+}
+
+fn not_found() -> Response {
+    http::problem("not-found", 404, "no such path", None)
+}
+
+fn announce(req: &Request, tx: &Sender<Event>) -> Response {
+    let announced: Announcement = match http::json_body(req, MAX_ANNOUNCEMENT_BYTES) {
+        Ok(announced) => announced,
+        Err(response) => return response,
+    };
+    if announced.slots == 0 || announced.services.is_empty() || !announced.url.starts_with("http://") {
+        let detail = "slots must be at least 1, services not empty, url http://ADDRESS:PORT";
+        return http::problem("malformed", 400, detail, None);
+    }
+    ask(tx, |reply| Event::Announce(announced, reply))
+}
+
+fn withdraw(name: &str, tx: &Sender<Event>) -> Response {
+    let name = Name::from(name);
+    ask(tx, |reply| Event::Withdraw(name, reply))
+}
+
+fn ask<F>(tx: &Sender<Event>, event: F) -> Response
+where
+    F: FnOnce(Sender<bool>) -> Event,
+{
+    let (reply_tx, reply_rx) = flume::bounded(1);
+    let sent = tx.send_timeout(event(reply_tx), REPLY_TIMEOUT).is_ok();
+    match reply_rx.recv_timeout(REPLY_TIMEOUT) {
+        Ok(true) if sent => Response::empty_204(),
+        Ok(false) => http::problem("not-found", 404, "no such backend server", None),
+        _ => http::problem("overloaded", 503, "the agent is busy", None),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/calls.rs
@@ -0,0 +1,110 @@
+//! Calls to backend servers, each on a thread of a pool that grows with the slots in use.
+
+use std::io::{self, Read};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use attohttpc::{ErrorKind, ProxySettings, header};
+use flume::{Receiver, Sender};
+use rw_core::agent::{Run, RunEnd};
+use rw_core::msg::TaskResult;
+use rw_host::link::spawn;
+
+/// Calls at once.
+pub const MAX_CALLS: usize = 256;
+/// Time that a connection to a backend server may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The largest result of one task, in bytes.
+const MAX_RESULT_BYTES: u64 = 64 * 1024;
+/// The longest part of an error answer that is passed on, in bytes.
+const MAX_ERROR_BYTES: usize = 200;
+
+/// Takes the end of a call.
+pub type EndSink = Arc<dyn Fn(Run, RunEnd, Duration) + Send + Sync>;
+
+/// The pool.
+pub struct Calls {
+    tx: Sender<Run>,
+    rx: Receiver<Run>,
+    idle: Arc<AtomicUsize>,
+    threads: usize,
+    sink: EndSink,
+}
+
+impl Calls {
+    /// A pool without threads.
+    pub fn new(sink: EndSink) -> Self {
+        let (tx, rx) = flume::bounded(MAX_CALLS);
+        Self { tx, rx, idle: Arc::default(), threads: 0, sink }
+    }
+
+    /// Makes a call.
+    pub fn start(&mut self, run: Run) {
+        if self.idle.load(Ordering::Acquire) <= self.tx.len() && self.threads < MAX_CALLS {
+            self.threads += 1;
+            self.add_thread();
+        }
+        if let Err(flume::TrySendError::Full(run) | flume::TrySendError::Disconnected(run)) = self.tx.try_send(run) {
+            (self.sink)(run, RunEnd::NotStarted, Duration::ZERO);
+        }
+    }
+
+    fn add_thread(&self) {
+        let (rx, idle, sink) = (self.rx.clone(), self.idle.clone(), self.sink.clone());
+        spawn("call", move || {
+            loop {
+                idle.fetch_add(1, Ordering::AcqRel);
+                let Ok(run) = rx.recv() else { return };
+                idle.fetch_sub(1, Ordering::AcqRel);
+                let begun = Instant::now();
+                let end = call(&run);
+                sink(run, end, begun.elapsed());
+            }
+        });
+    }
+}
+
+/// Calls the backend server. Only a refused connection proves that the task did not start.
+fn call(run: &Run) -> RunEnd {
+    let sent = attohttpc::post(format!("{}/run", run.url))
+        .connect_timeout(CONNECT_TIMEOUT)
+        .read_timeout(run.timeout)
+        .timeout(run.timeout)
+        .follow_redirects(false)
+        .proxy_settings(ProxySettings::builder().build())
+        .header(header::CONTENT_TYPE, "application/octet-stream")
+        .header("Redwingwick-Job", run.task.key.to_string())
+        .header("Redwingwick-Task", run.task.index.to_string())
+        .header("Redwingwick-Attempt", run.task.attempt.to_string())
+        .header("Redwingwick-Service", &*run.service)
+        .bytes(&*run.payload)
+        .send();
+    let response = match sent {
+        Ok(response) => response,
+        Err(e) if is_refused(e.kind()) => return RunEnd::NotStarted,
+        Err(e) => return failed(run, &e),
+    };
+    let (status, _, reader) = response.split();
+    let mut body = Vec::new();
+    if let Err(e) = reader.take(MAX_RESULT_BYTES + 1).read_to_end(&mut body) {
+        return failed(run, &e);
+    }
+    if body.len() as u64 > MAX_RESULT_BYTES {
+        return failed(run, &"the result is larger than 65536 bytes");
+    }
+    if status.is_success() {
+        return RunEnd::Ended(TaskResult::Done(body.into()));
+    }
+    body.truncate(MAX_ERROR_BYTES);
+    let text = String::from_utf8_lossy(&body);
+    failed(run, &format!("status {}: {}", status.as_u16(), text.trim()))
+}
+
+fn is_refused(kind: &ErrorKind) -> bool {
+    matches!(kind, ErrorKind::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused)
+}
+
+fn failed(run: &Run, reason: &dyn std::fmt::Display) -> RunEnd {
+    RunEnd::Ended(TaskResult::Failed(format!("call to backend server {}: {reason}", run.backend)))
+}
--- /dev/null
+++ b/crates/agent/src/duty.rs
@@ -0,0 +1,276 @@
+//! The agent's main duty: feeds the deciding core with events and carries out its actions.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use flume::{Receiver, RecvTimeoutError, Sender};
+use indexmap::IndexMap;
+use rw_core::agent::{Action, Agent, Announcement, Run, RunEnd};
+use rw_core::codec::ClusterKey;
+use rw_core::ids::Name;
+use rw_core::linking::entries_for;
+use rw_core::msg::{Ask, Msg, Role, Told};
+use rw_core::registry::SealedShard;
+use rw_host::clock;
+use rw_host::cluster::{Cluster, ClusterEvent, ClusterSetup};
+use rw_host::dial::Dialer;
+use rw_host::link::{Link, LinkEvent, Linker};
+use rw_host::program::{self, Args};
+use rw_host::settings::{self, SettingsError};
+use rw_host::{http, logging};
+use thiserror::Error;
+
+use crate::calls::Calls;
+use crate::settings::Settings;
+use crate::{announce, replicas, stats};
+
+/// How often the core acts on the passing of time.
+const TICK: Duration = Duration::from_millis(50);
+/// Events that may wait for the core.
+const EVENT_QUEUE: usize = 16 * 1024;
+/// Time for the last messages to leave before the process ends.
+const FLUSH_TIME: Duration = Duration::from_millis(300);
+
+/// What the core is fed with.
+#[derive(Debug)]
+pub enum Event {
+    /// On a link.
+    Link(LinkEvent),
+    /// In the cluster.
+    Cluster(ClusterEvent),
+    /// A backend server announces itself.
+    Announce(Announcement, Sender<bool>),
+    /// A backend server leaves.
+    Withdraw(Name, Sender<bool>),
+    /// A call ended.
+    Ended(Run, RunEnd, Duration),
+    /// Records of a shard; replied to with whether it is served now.
+    Sealed(SealedShard, Sender<bool>),
+    /// Drain, then end.
+    Shutdown,
+}
+
+/// Why the agent cannot start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The settings are wrong.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// A socket or thread cannot be had.
+    #[error("start: {0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// Runs the agent until it is told to end.
+pub fn run(args: &Args) -> Result<(), StartError> {
+    let loaded = settings::load::<Settings>(&args.settings)?;
+    let bound = loaded.bind(&loaded.settings.node)?;
+    if args.check {
+        println!("{}: ok", args.settings.display());
+        return Ok(());
+    }
+    let Settings { node, log, agent } = loaded.settings;
+    logging::init(&log);
+    let (tx, rx) = flume::bounded(EVENT_QUEUE);
+    let cluster_tx = tx.clone();
+    let setup = ClusterSetup {
+        node: node.clone(),
+        role: Role::Agent,
+        incarnation: clock::wall().0,
+        follows: true,
+        sink: Arc::new(move |event| drop(cluster_tx.send(Event::Cluster(event)))),
+    };
+    let link_tx = tx.clone();
+    let linker = Linker {
+        key: bound.key.clone(),
+        hello: setup.hello(),
+        sink: Arc::new(move |event| drop(link_tx.send(Event::Link(event)))),
+    };
+    let cluster = setup.start(&bound)?;
+    linker.accept(bound.link);
+    let ready = Arc::new(AtomicBool::new(false));
+    let (http_tx, http_ready) = (tx.clone(), ready.clone());
+    http::serve(node.http, announce::HTTP_THREADS, move |req| {
+        announce::handle(req, &http_tx, http_ready.load(Ordering::Acquire))
+    })?;
+    let (end_tx, shutdown_tx) = (tx.clone(), tx.clone());
+    let signal = program::shutdown_signal()?;
+    rw_host::link::spawn("shutdown", move || {
+        if signal.recv().is_ok() {
+            let _ = shutdown_tx.send(Event::Shutdown);
+        }
+    });
+    let mut core = Agent::new(linker.hello.node.clone(), Instant::now());
+    core.set_queue_here(agent.queue_here);
+    let duty = Duty {
+        core,
+        calls: Calls::new(Arc::new(move |run, end, time| drop(end_tx.send(Event::Ended(run, end, time))))),
+        dialer: Dialer::new(cluster.clone(), linker),
+        cluster,
+        key: bound.key,
+        links: IndexMap::new(),
+        entries: IndexMap::new(),
+        tx,
+        ready,
+        ready_for: 0,
+        leaving: false,
+        next_tick: Instant::now(),
+    };
+    log::info!(node:% = node.name, link:% = node.link, http:% = node.http; "agent started");
+    duty.run(&rx);
+    Ok(())
+}
+
+struct Duty {
+    core: Agent,
+    calls: Calls,
+    dialer: Dialer,
+    cluster: Cluster,
+    key: ClusterKey,
+    links: IndexMap<u64, Link>,
+    /// The newest link of each entry; older ones are not listened to.
+    entries: IndexMap<Name, u64>,
+    tx: Sender<Event>,
+    ready: Arc<AtomicBool>,
+    ready_for: u64,
+    leaving: bool,
+    next_tick: Instant,
+}
+
+impl Duty {
+    fn run(mut self, rx: &Receiver<Event>) {
+        let mut out = Vec::new();
+        loop {
+            let event = match rx.recv_timeout(TICK) {
+                Ok(event) => Some(event),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let now = Instant::now();
+            self.core.observe(now, &mut out);
+            if let Some(event) = event {
+                self.on_event(now, event, &mut out);
+            }
+            if now >= self.next_tick {
+                self.next_tick = now + TICK;
+                self.core.tick(now, clock::wall(), &mut out);
+                self.publish();
+            }
+            for action in out.drain(..) {
+                self.act(action);
+            }
+            if self.leaving && self.core.is_idle() {
+                std::thread::sleep(FLUSH_TIME);
+                log::info!("agent ended");
+                return;
+            }
+        }
+    }
+
+    fn on_event(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Link(event) => self.on_link(event, out),
+            Event::Cluster(ClusterEvent::State(state)) => self.core.on_config(state, out),
+            Event::Cluster(ClusterEvent::Members(members)) => {
+                self.dialer.want(entries_for(&self.cluster.hello.node.name, &members));
+            }
+            Event::Announce(announced, reply) => {
+                self.core.announce(now, announced, out);
+                let _ = reply.send(true);
+            }
+            Event::Withdraw(name, reply) => {
+                let known = self.core.withdraw(&name, out);
+                let _ = reply.send(known);
+            }
+            Event::Ended(run, end, time) => {
+                stats::ended(&run.service, &end, time);
+                self.core.on_end(&run, end, time, out);
+            }
+            Event::Sealed(sealed, reply) => {
+                let served = self.on_sealed(sealed);
+                let _ = reply.send(served);
+            }
+            Event::Shutdown => {
+                log::info!("agent leaving");
+                self.leaving = true;
+                self.cluster.set_leaving();
+                self.core.leave(out);
+            }
+        }
+    }
+
+    fn on_sealed(&mut self, sealed: SealedShard) -> bool {
+        let cluster = self.core.cluster().clone();
+        let Some(shard) = cluster.shards.get(sealed.shard as usize) else { return true };
+        self.core.registry().on_sealed(sealed, shard)
+    }
+
+    fn on_link(&mut self, event: LinkEvent, out: &mut Vec<Action>) {
+        match event {
+            LinkEvent::Up(link) => {
+                if link.peer.role == Role::Entry {
+                    let name = link.peer.node.name.clone();
+                    self.entries.insert(name.clone(), link.id);
+                    self.links.insert(link.id, link);
+                    self.core.link_up(&name, out);
+                } else {
+                    self.links.insert(link.id, link);
+                }
+            }
+            LinkEvent::Msg(id, msg) => self.on_msg(id, msg, out),
+            LinkEvent::Down(id) => {
+                let Some(link) = self.links.swap_remove(&id) else { return };
+                let name = link.peer.node.name;
+                if self.entries.get(&name) == Some(&id) {
+                    self.entries.swap_remove(&name);
+                    self.core.link_down(&name, out);
+                }
+            }
+        }
+    }
+
+    fn on_msg(&mut self, id: u64, msg: Msg, out: &mut Vec<Action>) {
+        let Some(link) = self.links.get(&id) else { return };
+        match msg {
+            Msg::ToAgent(msg) => {
+                let name = link.peer.node.name.clone();
+                if self.entries.get(&name) == Some(&id) {
+                    self.core.on_msg(clock::wall(), &name, msg, out);
+                }
+            }
+            Msg::Ask(Ask::Sync { revision }) => self.cluster.answer(link, revision),
+            Msg::Ask(Ask::Seal { shard, version }) => {
+                let sealed = self.core.registry().seal(shard, version);
+                link.send(Msg::Told(Told::Sealed(sealed)));
+            }
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send(entry, msg) => {
+                let link = self.entries.get(&entry).and_then(|id| self.links.get(id));
+                if let Some(link) = link {
+                    link.send(Msg::ToEntry(msg));
+                }
+            }
+            Action::Run(run) => self.calls.start(run),
+            Action::Collect(collect) => {
+                replicas::collect(collect, self.cluster.clone(), self.key.clone(), self.tx.clone());
+            }
+        }
+    }
+
+    /// Tells readiness: a configuration is in force and the shards held here are served.
+    fn publish(&mut self) {
+        let cluster = self.core.cluster().clone();
+        self.ready.store(cluster.revision > 0 && !self.leaving, Ordering::Release);
+        if cluster.revision > self.ready_for && self.core.registry().is_ready(&cluster) {
+            self.ready_for = cluster.revision;
+            self.cluster.set_ready_for(cluster.revision);
+        }
+        stats::held(&self.core);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/replicas.rs
@@ -0,0 +1,59 @@
+//! Collects a shard's records from the replicas of the version before.
+
+use std::thread;
+use std::time::Duration;
+
+use flume::Sender;
+use rw_core::codec::ClusterKey;
+use rw_core::msg::{Ask, Told};
+use rw_core::registry::Collect;
+use rw_host::cluster::Cluster;
+use rw_host::link::{ask, spawn};
+
+use crate::duty::Event;
+
+/// Time between two rounds.
+const ROUND: Duration = Duration::from_millis(100);
+/// Slowest pace of rounds.
+const MAX_ROUND: Duration = Duration::from_secs(2);
+
+/// Asks the replicas of the version before until the shard's placement changes or it is served.
+pub fn collect(collect: Collect, cluster: Cluster, key: ClusterKey, tx: Sender<Event>) {
+    spawn("collect", move || {
+        let mut pause = ROUND;
+        while is_current(&collect, &cluster) {
+            if !round(&collect, &cluster, &key, &tx) {
+                return;
+            }
+            thread::sleep(pause);
+            pause = (pause * 2).min(MAX_ROUND);
+        }
+    });
+}
+
+fn is_current(collect: &Collect, cluster: &Cluster) -> bool {
+    cluster.state().is_some_and(|state| {
+        state.shards.get(collect.shard as usize).is_some_and(|shard| shard.version == collect.version)
+    })
+}
+
+/// Asks each replica once. `false` when the shard is served.
+fn round(collect: &Collect, cluster: &Cluster, key: &ClusterKey, tx: &Sender<Event>) -> bool {
+    let members = cluster.members();
+    for node in &collect.from {
+        let Some(member) = members.iter().find(|m| m.node == *node) else { continue };
+        let question = Ask::Seal { shard: collect.shard, version: collect.version };
+        match ask(member.link, key, &cluster.hello, question) {
+            Ok(Told::Sealed(sealed)) => {
+                let (reply_tx, reply_rx) = flume::bounded(1);
+                let sent = tx.send(Event::Sealed(sealed, reply_tx)).is_ok();
+                if !sent || reply_rx.recv().unwrap_or(true) {
+                    return false;
+                }
+            }
+            Ok(_) => {}
+            Err(e) => log::debug!(shard = collect.shard, error:% = e; "shard not collected"),
+        }
+    }
+    true
+}
--- /dev/null
+++ b/crates/backend/src/server.rs
@@ -0,0 +1,48 @@
+//! Serves tasks.
+
+use std::io;
+use std::thread;
+
+use rouille::{Request, Response, Server};
+use rw_host::http;
+
+use crate::announcer;
+use crate::behaviour::{Behaviour, field};
+use crate::journal::Journal;
+
+const MAX_PAYLOAD_BYTES: usize = 64 * 1024;
+/// Threads beyond the slots, for connections that wait.
+const SPARE_THREADS: usize = 8;
+
+/// Serves until it is killed.
+pub fn run(behaviour: Behaviour) -> io::Result<()> {
+    let journal = Journal::open(behaviour.journal.as_deref())?;
+    announcer::start(&behaviour);
+    let (listen, threads) = (behaviour.listen, behaviour.slots as usize + SPARE_THREADS);
+    let server = Server::new(listen, move |req| answer(&behaviour, &journal, req))
+        .map_err(|e| io::Error::other(format!("{listen}: {e}")))?;
+    server.pool_size(threads).run();
+    Ok(())
+}
+
+fn answer(behaviour: &Behaviour, journal: &Journal, req: &Request) -> Response {
+    if req.method() != "POST" || req.url() != "/run" {
+        return Response::empty_404();
+    }
+    let payload = match http::body(req, MAX_PAYLOAD_BYTES) {
+        Ok(payload) => String::from_utf8_lossy(&payload).into_owned(),
+        Err(response) => return response,
+    };
+    let header = |name| req.header(name).unwrap_or("-");
+    journal.record(&format!(
+        "{} {} {}",
+        header("Redwingwick-Job"),
+        header("Redwingwick-Task"),
+        header("Redwingwick-Attempt")
+    ));
+    if behaviour.fails(&payload) {
+        return Response::text("this backend server fails").with_status_code(500);
+    }
+    thread::sleep(behaviour.run_time(&payload));
+    Response::text(field(&payload, "echo").unwrap_or("").to_owned())
+}
--- /dev/null
+++ b/crates/cli/src/cmd/hash_token.rs
@@ -0,0 +1,24 @@
+//! `redwingwick hash-token`.
+
+use std::io::{self, Write};
+
+use rw_host::http::token_hash;
+
+use super::Run;
+use crate::error::Error;
+
+/// The subcommand, which has no arguments.
+pub struct HashToken;
+
+impl Run for HashToken {
+    fn run(&self) -> Result<(), Error> {
+        let mut line = String::new();
+        io::stdin().read_line(&mut line)?;
+        let token = line.trim();
+        if token.is_empty() {
+            return Err(Error::Invalid("no token on standard input".into()));
+        }
+        writeln!(io::stdout(), "{}", token_hash(token))?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cmd/status.rs
@@ -0,0 +1,85 @@
+//! `redwingwick status`.
+
+use std::io::{self, Write};
+
+use clap::ArgMatches;
+use rw_core::members::{Member, MemberState};
+
+use super::Run;
+use crate::client::{self, Client};
+use crate::error::Error;
+
+/// The subcommand's arguments.
+pub struct Status<'a> {
+    args: &'a ArgMatches,
+}
+
+impl<'a> Status<'a> {
+    /// Keeps the arguments.
+    pub fn new(args: &'a ArgMatches) -> Self {
+        Self { args }
+    }
+}
+
+impl Run for Status<'_> {
+    fn run(&self) -> Result<(), Error> {
+        let client = Client::new(self.args);
+        let any = self.args.get_flag("any");
+        let mut out = io::stdout().lock();
+        if self.args.get_flag("json") {
+            writeln!(out, "{}", client.status_text(any)?)?;
+            return Ok(());
+        }
+        let status = client.status(any)?;
+        write_state(&mut out, &status)?;
+        write_members(&mut out, &status)?;
+        Ok(())
+    }
+}
+
+fn write_state<W>(out: &mut W, status: &client::Status) -> io::Result<()>
+where
+    W: Write,
+{
+    let state = &status.state;
+    let text = |key: &str| status.log[key].to_string().replace('"', "");
+    writeln!(out, "revision {}  preset {}", state.revision, state.in_force.value)?;
+    writeln!(out, "leader {}  term {}  commit {}", text("leader"), text("term"), text("commit"))?;
+    for (name, service) in &state.services {
+        writeln!(out, "service {name}  changed at {}", service.changed_at)?;
+    }
+    for (name, tenant) in &state.tenants {
+        let quota = &tenant.value;
+        writeln!(
+            out,
+            "tenant {name}  weight {}  rate {}  concurrency {}  changed at {}",
+            quota.weight, quota.rate, quota.concurrency, tenant.changed_at
+        )?;
+    }
+    let settled = state.shards.iter().filter(|shard| shard.settled).count();
+    writeln!(out, "registry shards {} placed, {settled} settled", state.shards.len())
+}
+
+fn write_members<W>(out: &mut W, status: &client::Status) -> io::Result<()>
+where
+    W: Write,
+{
+    let mut members: Vec<&Member> = status.members.iter().collect();
+    members.sort_by_key(|m| (m.role, m.node.name.clone()));
+    for m in members {
+        let health = match (m.state, m.leaving) {
+            (MemberState::Dead, _) => "dead",
+            (MemberState::Suspect, _) => "suspect",
+            (MemberState::Alive, true) => "leaving",
+            (MemberState::Alive, false) => "alive",
+        };
+        let drained = if status.state.drained.contains_key(&m.node.name) { "  drained" } else { "" };
+        let role = format!("{:?}", m.role).to_lowercase();
+        writeln!(
+            out,
+            "{role} {}  {health}{drained}  domain {}  http {}",
+            m.node.name, m.domain, m.http
+        )?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/control/src/main.rs
@@ -0,0 +1,21 @@
+//! `rw-control`: holds the replicated log of the configuration.
+
+mod api;
+mod duty;
+mod settings;
+mod store;
+
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction};
+use rw_host::program;
+
+fn main() -> ExitCode {
+    let init = Arg::new("init")
+        .long("init")
+        .action(ArgAction::SetTrue)
+        .help("Make the journal of a new cluster and exit; the other nodes join by themselves");
+    let about = "Holds the replicated log of the configuration";
+    let matches = program::command("rw-control", about).arg(init).get_matches();
+    program::exit("rw-control", duty::run(&program::args(&matches), matches.get_flag("init")))
+}
--- /dev/null
+++ b/crates/core/src/dispatcher/claims.rs
@@ -0,0 +1,197 @@
+//! Claims of keys, and attaching to jobs that other entries hold.
+
+use std::time::Duration;
+
+use crate::answer::{Answer, Failure, FailureKind};
+use crate::claim::ClaimState;
+use crate::ids::{Digest, JobKey, Name, NodeRef};
+use crate::members::MemberState;
+use crate::msg::{Claim, ClaimReply, Peer, ToAgent};
+use crate::placement::shard_of;
+
+use super::{Action, Dispatcher, Now, Phase, Waiter};
+
+/// Time after which another entry is asked again for an answer.
+const ATTACH_RETRY: Duration = Duration::from_secs(1);
+
+impl Dispatcher {
+    /// Sends the claims of a round that are due.
+    pub(super) fn ask_replicas(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Phase::Claiming(round) = &mut job.phase else { return };
+        let fleet = &self.fleet;
+        let linked = |node: &NodeRef| {
+            fleet.workers().get(&node.name).is_some_and(|worker| worker.up && worker.node == *node)
+        };
+        for replica in round.to_ask(now.mono, linked) {
+            let claim = Claim {
+                key,
+                version: round.version,
+                replica: replica.clone(),
+                owner: self.me.clone(),
+                attempt: round.attempt,
+                digest: job.digest,
+            };
+            out.push(Action::Send(replica.name, ToAgent::Claim(claim)));
+        }
+    }
+
+    /// Asks again where answers are missing, or anew when the shard moved.
+    pub(super) fn tick_claims(&mut self, now: Now, out: &mut Vec<Action>) {
+        let Some(cluster) = self.cluster.clone() else { return };
+        let mut moved = Vec::new();
+        let mut open = Vec::new();
+        let mut attached = Vec::new();
+        for (key, job) in &self.jobs {
+            match &job.phase {
+                Phase::Claiming(round) => {
+                    let version = shard_of(&cluster, *key).map(|(_, shard)| shard.version);
+                    let list = if version == Some(round.version) { &mut open } else { &mut moved };
+                    list.push(*key);
+                }
+                Phase::Attached { .. } => attached.push(*key),
+                Phase::Collecting(_) | Phase::Running => {}
+            }
+        }
+        for key in moved {
+            self.begin_claim(now, key, out);
+        }
+        for key in open {
+            self.ask_replicas(now, key, out);
+        }
+        for key in attached {
+            self.ask_owner(now, key, out);
+        }
+    }
+
+    /// Takes in a replica's reply.
+    pub(super) fn on_claimed(
+        &mut self,
+        now: Now,
+        from: &Name,
+        key: JobKey,
+        attempt: u32,
+        reply: ClaimReply,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(node) = self.fleet.workers().get(from).map(|worker| worker.node.clone()) else { return };
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Phase::Claiming(round) = &mut job.phase else { return };
+        if round.attempt != attempt {
+            return;
+        }
+        match round.on_reply(&node, reply) {
+            ClaimState::Waiting => {}
+            ClaimState::Won if attempt == 1 => self.admit(now, key, out),
+            ClaimState::Won => self.begin_collection(now, key, out),
+            ClaimState::Held(owner, held, digest) => self.on_held(now, key, owner, held, digest, out),
+            ClaimState::Forgotten => {
+                let detail = "the registry's records of that time are lost";
+                self.fail(now, key, Failure::unknown(FailureKind::OutcomeUnknown, detail), out);
+            }
+        }
+        self.pump(now, out);
+    }
+
+    fn on_held(
+        &mut self,
+        now: Now,
+        key: JobKey,
+        owner: NodeRef,
+        attempt: u32,
+        digest: Digest,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        if job.digest != digest {
+            let detail = "the key was used for another request";
+            self.fail(now, key, Failure::not_run(FailureKind::KeyConflict, detail), out);
+            return;
+        }
+        if owner == self.me || !self.is_living(&owner) {
+            self.take_over(now, key, attempt, out);
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        job.phase = Phase::Attached { owner, attempt, asked: None };
+        self.ask_owner(now, key, out);
+    }
+
+    fn is_living(&self, node: &NodeRef) -> bool {
+        self.members.iter().any(|m| m.node == *node && m.state != MemberState::Dead)
+    }
+
+    /// Claims the key at a higher attempt than its holder's.
+    fn take_over(&mut self, now: Now, key: JobKey, attempt: u32, out: &mut Vec<Action>) {
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.attempt = attempt + 1;
+            self.begin_claim(now, key, out);
+        }
+    }
+
+    /// Asks the entry that holds the key, or takes over when that one is gone.
+    fn ask_owner(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        let Phase::Attached { owner, attempt, asked } = &job.phase else { return };
+        if !self.is_living(owner) {
+            let attempt = *attempt;
+            self.take_over(now, key, attempt, out);
+            return;
+        }
+        if asked.is_some_and(|at| now.mono.duration_since(at) < ATTACH_RETRY) {
+            return;
+        }
+        out.push(Action::Peer(owner.name.clone(), Peer::Attach { key }));
+        if let Some(job) = self.jobs.get_mut(&key)
+            && let Phase::Attached { asked, .. } = &mut job.phase
+        {
+            *asked = Some(now.mono);
+        }
+    }
+
+    /// Handles a message of another entry.
+    pub fn on_peer(&mut self, now: Now, entry: &NodeRef, msg: Peer, out: &mut Vec<Action>) {
+        match msg {
+            Peer::Attach { key } => self.on_attach(entry, key, out),
+            Peer::Attached { key, answer } => self.on_attached(now, entry, key, answer, out),
+            Peer::Demand { tenants } => {
+                self.quotas.on_demand(now.mono, entry.name.clone(), tenants);
+            }
+        }
+    }
+
+    fn on_attach(&mut self, entry: &NodeRef, key: JobKey, out: &mut Vec<Action>) {
+        if let Some(job) = self.jobs.get_mut(&key) {
+            // Two entries that only attach to each other would wait for ever.
+            if !matches!(job.phase, Phase::Attached { .. }) {
+                let waiter = Waiter::Entry(entry.name.clone());
+                if !job.waiters.contains(&waiter) {
+                    job.waiters.push(waiter);
+                }
+                return;
+            }
+        }
+        let answer = self.ended.get(&key).and_then(|ended| ended.answer.clone());
+        out.push(Action::Peer(entry.name.clone(), Peer::Attached { key, answer }));
+    }
+
+    fn on_attached(
+        &mut self,
+        now: Now,
+        entry: &NodeRef,
+        key: JobKey,
+        answer: Option<Answer>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        let Phase::Attached { owner, attempt, .. } = &job.phase else { return };
+        if owner != entry {
+            return;
+        }
+        let attempt = *attempt;
+        match answer {
+            Some(answer) => self.finish(now, key, answer, out),
+            None => self.take_over(now, key, attempt, out),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatcher/finish.rs
@@ -0,0 +1,118 @@
+//! The end of jobs: answers whole or failed, and what is remembered of them.
+
+use std::sync::Arc;
+
+use crate::answer::{Answer, Failure, FailureKind, Ran};
+use crate::ids::JobKey;
+use crate::msg::Peer;
+
+use super::{Action, Dispatcher, Ended, Job, MAX_RETAINED_BYTES, Note, Now, TaskState, Waiter};
+
+impl Dispatcher {
+    /// Answers a job once every task's result is there.
+    pub(super) fn finish_if_done(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        if job.done < job.tasks.len() {
+            return;
+        }
+        let results: Option<Vec<Arc<[u8]>>> = job.tasks.iter().map(result_of).collect();
+        if let Some(results) = results {
+            self.finish(now, key, Ok(results.into()), out);
+        }
+    }
+
+    /// Fails a job as a whole. "Not run" stands only when no dispatch of it is unrefuted.
+    pub(super) fn fail(&mut self, now: Now, key: JobKey, mut failure: Failure, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        failure.ran = job.proved(&failure);
+        self.finish(now, key, Err(failure), out);
+    }
+
+    /// Answers all waiters and remembers what a resubmission may ask for.
+    pub(super) fn finish(&mut self, now: Now, key: JobKey, answer: Answer, out: &mut Vec<Action>) {
+        self.dequeue(key);
+        let Some(job) = self.jobs.swap_remove(&key) else { return };
+        if job.admitted {
+            self.quotas.release(&job.spec.tenant, job.tasks.len() as u32);
+        }
+        out.push(Action::Note(Note::JobEnded {
+            tenant: job.spec.tenant.clone(),
+            class: job.spec.class,
+            time: now.mono.duration_since(job.arrived),
+            failure: answer.as_ref().err().map(|failure| (failure.kind, failure.ran)),
+        }));
+        for waiter in &job.waiters {
+            out.push(match waiter {
+                Waiter::Caller(caller) => Action::Answer(*caller, answer.clone()),
+                Waiter::Entry(entry) => {
+                    let answer = Some(answer.clone());
+                    Action::Peer(entry.clone(), Peer::Attached { key, answer })
+                }
+            });
+        }
+        self.remember(key, &job, answer);
+    }
+
+    /// Remembers a keyed job's end. One that did not run may be submitted again.
+    fn remember(&mut self, key: JobKey, job: &Job, answer: Answer) {
+        let not_run = answer.as_ref().is_err_and(|failure| failure.ran == Ran::NotRun);
+        if !job.spec.keyed || not_run || !job.is_settled(&answer) {
+            return;
+        }
+        let bytes = match &answer {
+            Ok(results) => results.iter().map(|result| result.len() + size_of::<Arc<[u8]>>()).sum(),
+            Err(failure) => failure.detail.len(),
+        };
+        let ended = Ended { digest: job.digest, attempt: job.attempt, answer: Some(answer), bytes };
+        self.retained_bytes += bytes;
+        if let Some(before) = self.ended.insert(key, ended) {
+            self.retained_bytes -= before.bytes;
+        }
+        self.drop_oldest_answers();
+    }
+
+    /// Drops answers beyond the bound; their keys stay, so that they are collected, never rerun.
+    fn drop_oldest_answers(&mut self) {
+        if self.retained_bytes <= MAX_RETAINED_BYTES {
+            return;
+        }
+        for ended in self.ended.values_mut() {
+            if self.retained_bytes <= MAX_RETAINED_BYTES / 2 {
+                break;
+            }
+            if ended.answer.take().is_some() {
+                self.retained_bytes -= ended.bytes;
+                ended.bytes = 0;
+            }
+        }
+    }
+}
+
+impl Job {
+    /// What is proved of the job's tasks, given why it fails.
+    fn proved(&self, failure: &Failure) -> Ran {
+        let attempt_proves = !self.spec.keyed || self.attempt == 1 && self.admitted;
+        let claims_nothing = failure.ran == Ran::NotRun;
+        if self.started == 0 && (attempt_proves || claims_nothing) { Ran::NotRun } else { Ran::Unknown }
+    }
+
+    /// Whether the answer is final: an unknown outcome may still be collected later.
+    fn is_settled(&self, answer: &Answer) -> bool {
+        match answer {
+            Ok(_) => true,
+            Err(failure) => self.started > 0 && !matches!(failure.kind, FailureKind::TakenOver),
+        }
+    }
+
+    /// Keeps the number of dispatches of a task that waits again.
+    pub(super) fn tries_of(&mut self, index: u16, tries: u32) {
+        self.tries.insert(index, tries);
+    }
+}
+
+fn result_of(state: &TaskState) -> Option<Arc<[u8]>> {
+    match state {
+        TaskState::Done(result) => Some(result.clone()),
+        TaskState::Queued | TaskState::Sent { .. } => None,
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatcher/links.rs
@@ -0,0 +1,208 @@
+//! Links to agents and what they report.
+
+use std::time::Duration;
+
+use crate::answer::{Failure, FailureKind};
+use crate::fleet::Sent;
+use crate::ids::{Digest, Name, NodeRef};
+use crate::members::Member;
+use crate::msg::{RefusalReason, TaskRef, TaskResult, ToAgent, ToEntry};
+
+use super::{Action, Declared, Dispatcher, MAX_TRIES, Note, Now, Phase, RunTimes, TaskState};
+
+/// Slowest learning of a mean run time.
+const RUN_TIME_RATE: f64 = 0.02;
+/// Slowest learning of how declared run times relate to actual ones.
+const DECLARED_RATE: f64 = 0.05;
+
+impl Dispatcher {
+    /// An agent linked. Tasks on an earlier process of the same name are lost.
+    pub fn agent_up(&mut self, now: Now, node: NodeRef, out: &mut Vec<Action>) {
+        let name = node.name.clone();
+        let lost = self.fleet.link_up(now.mono, node);
+        for sent in lost {
+            self.fail_lost(now, &name, &sent, out);
+        }
+        self.query_worker(&name, out);
+    }
+
+    /// An agent's link is lost. Its tasks stay in doubt until it links again or the deadline.
+    pub fn agent_down(&mut self, name: &Name) {
+        self.fleet.link_down(name);
+    }
+
+    /// Takes in the member list. Tasks on processes that were replaced are lost.
+    pub fn on_members(&mut self, now: Now, members: Vec<Member>, out: &mut Vec<Action>) {
+        self.members = members;
+        let replaced = |m: &&Member| {
+            let worker = self.fleet.workers().get(&m.node.name);
+            worker.is_some_and(|worker| m.node.incarnation > worker.node.incarnation)
+        };
+        let names: Vec<Name> =
+            self.members.iter().filter(replaced).map(|m| m.node.name.clone()).collect();
+        let mut lost: Vec<(Name, Sent)> = Vec::new();
+        for name in names {
+            let sent = self.fleet.take_all(&name);
+            lost.extend(sent.into_iter().map(|sent| (name.clone(), sent)));
+        }
+        for (name, sent) in lost {
+            self.fail_lost(now, &name, &sent, out);
+        }
+    }
+
+    fn fail_lost(&mut self, now: Now, worker: &Name, sent: &Sent, out: &mut Vec<Action>) {
+        let detail = format!("worker {worker} was lost with task {}", sent.task.index);
+        let failure = Failure::unknown(FailureKind::WorkerLost, detail);
+        if self.is_waiting_for(sent.task, worker) {
+            self.fail(now, sent.task.key, failure, out);
+        }
+    }
+
+    fn is_waiting_for(&self, task: TaskRef, from: &Name) -> bool {
+        let state = self.jobs.get(&task.key).and_then(|job| job.tasks.get(task.index as usize));
+        matches!(state, Some(TaskState::Sent { worker, .. }) if worker == from)
+    }
+
+    /// Handles a message of a linked agent.
+    pub fn on_agent(&mut self, now: Now, from: &Name, msg: ToEntry, out: &mut Vec<Action>) {
+        self.heard(now, from);
+        match msg {
+            ToEntry::Offer(offer) => self.fleet.on_offer(from, offer),
+            ToEntry::Grant { credits, epoch } => self.fleet.grant(from, credits, epoch),
+            ToEntry::Recall { credits } => self.on_recall(from, credits, out),
+            ToEntry::Running { .. } => {}
+            ToEntry::Refused { task, reason } => self.on_refused(now, from, task, reason, out),
+            ToEntry::Done { task, digest, run_us, result, credit, epoch } => {
+                if credit {
+                    self.fleet.grant(from, 1, epoch);
+                }
+                let run = Duration::from_micros(u64::from(run_us));
+                self.on_done(now, from, task, digest, run, result, out);
+            }
+            ToEntry::Collected { key, attempt, knows_since, running, done } => {
+                self.on_collected(now, from, key, attempt, knows_since, running, done, out);
+            }
+            ToEntry::Claimed { key, attempt, reply } => {
+                self.on_claimed(now, from, key, attempt, reply, out);
+                return;
+            }
+        }
+        self.pump(now, out);
+    }
+
+    /// Notes that an agent is alive.
+    pub fn heard(&mut self, now: Now, from: &Name) {
+        if let Some(worker) = self.fleet.get_mut(from) {
+            worker.heard = now.mono;
+        }
+    }
+
+    /// Gives idle credits back unless tasks wait for them.
+    fn on_recall(&mut self, from: &Name, credits: u32, out: &mut Vec<Action>) {
+        let waiting: u32 = self.queues.values().map(crate::queue::ServiceQueue::total).sum();
+        let Some(worker) = self.fleet.get_mut(from) else { return };
+        let idle = if waiting > 0 { 0 } else { worker.credits.min(credits) };
+        worker.credits -= idle;
+        worker.declared = 0;
+        let epoch = worker.offer.epoch;
+        out.push(Action::Send(from.clone(), ToAgent::Return { credits: idle, epoch }));
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
+    fn on_done(
+        &mut self,
+        now: Now,
+        from: &Name,
+        task: TaskRef,
+        digest: Digest,
+        run: Duration,
+        result: TaskResult,
+        out: &mut Vec<Action>,
+    ) {
+        let failed = matches!(result, TaskResult::Failed(_));
+        if let Some(sent) = self.fleet.take(from, task) {
+            self.fleet.ended(now.mono, from, &sent, run, failed);
+            if !failed && !run.is_zero() {
+                self.learn_run_time(task, &sent, run, out);
+            }
+        }
+        if !self.is_waiting_for(task, from) {
+            out.push(Action::Note(Note::Dropped("late")));
+            return;
+        }
+        match self.take_result(task.key, task.index, digest, result, out) {
+            Ok(()) => self.finish_if_done(now, task.key, out),
+            Err(failure) => self.fail(now, task.key, failure, out),
+        }
+    }
+
+    fn learn_run_time(&mut self, task: TaskRef, sent: &Sent, run: Duration, out: &mut Vec<Action>) {
+        let id = (sent.service.clone(), sent.class);
+        let seconds = run.as_secs_f64();
+        let times = self.run_times.entry(id).or_insert(RunTimes { mean: seconds, seen: 0 });
+        times.seen = times.seen.saturating_add(1);
+        let rate = (1.0 / f64::from(times.seen)).max(RUN_TIME_RATE);
+        times.mean += rate * (seconds - times.mean);
+        let Some(job) = self.jobs.get(&task.key) else { return };
+        let (tenant, class) = (job.spec.tenant.clone(), sent.class);
+        if let Some(declared) = job.spec.tasks.get(task.index as usize).and_then(|t| t.declared) {
+            let ratio = (seconds / declared.as_secs_f64().max(1e-6)).ln();
+            self.declared.entry((tenant.clone(), class)).or_default().learn(ratio);
+        }
+        out.push(Action::Note(Note::TaskEnded { tenant, class, run }));
+    }
+
+    /// A dispatch that is proved not to have started waits again, within the retry budget.
+    fn on_refused(
+        &mut self,
+        now: Now,
+        from: &Name,
+        task: TaskRef,
+        reason: RefusalReason,
+        out: &mut Vec<Action>,
+    ) {
+        if self.fleet.take(from, task).is_none() {
+            out.push(Action::Note(Note::Dropped("refusal")));
+            return;
+        }
+        if !self.is_waiting_for(task, from) {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&task.key) else { return };
+        job.started = job.started.saturating_sub(1);
+        let tenant = job.spec.tenant.clone();
+        let TaskState::Sent { tries, .. } = &job.tasks[task.index as usize] else { return };
+        let tries = *tries;
+        if reason == RefusalReason::Superseded {
+            let failure = Failure::unknown(FailureKind::TakenOver, "another entry took the job over");
+            self.fail(now, task.key, failure, out);
+        } else if tries >= MAX_TRIES || !self.quotas.retry(&tenant) {
+            let detail = format!("task {} was refused {tries} times, last: {reason:?}", task.index);
+            self.fail(now, task.key, Failure::unknown(FailureKind::Overloaded, detail), out);
+        } else {
+            out.push(Action::Note(Note::Retried));
+            self.requeue(task, tries);
+        }
+    }
+
+    fn requeue(&mut self, task: TaskRef, tries: u32) {
+        self.dequeue(task.key);
+        if let Some(job) = self.jobs.get_mut(&task.key) {
+            debug_assert!(matches!(job.phase, Phase::Running));
+            job.tasks[task.index as usize] = TaskState::Queued;
+            job.queued.push_front(task.index);
+            job.tries_of(task.index, tries);
+        }
+        self.enqueue(task.key);
+    }
+}
+
+impl Declared {
+    fn learn(&mut self, ratio: f64) {
+        self.seen = self.seen.saturating_add(1);
+        let rate = (1.0 / f64::from(self.seen)).max(DECLARED_RATE);
+        let off = ratio - self.bias;
+        self.bias += rate * off;
+        self.spread += rate * (off * off - self.spread);
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatcher/pump.rs
@@ -0,0 +1,203 @@
+//! Dispatch: matches waiting tasks with credits.
+
+use std::time::Duration;
+
+use crate::fleet::{Sent, Wanted};
+use crate::ids::{JobKey, Name};
+use crate::job::Class;
+use crate::msg::{Start, TaskRef, ToAgent};
+
+use super::{Action, Dispatcher, Mode, Note, Now, TaskState};
+
+/// Waiting jobs that are tried for a worker before the class is left alone.
+const CANDIDATES: usize = 8;
+/// Shortest time between two calls for credits.
+const WANT_EVERY: Duration = Duration::from_millis(10);
+/// Room for short work beyond its recent peak when long work is limited.
+const SHORT_MARGIN: f64 = 1.2;
+/// Share of the slots that long work never takes.
+const KEPT_FROM_LONG: f64 = 0.1;
+/// A declared run time is used when actual ones scatter around it by less than this factor, as the
+/// square of its natural logarithm.
+const TRUSTED_SPREAD: f64 = 0.5;
+/// Declared run times seen before they are used.
+const TRUSTED_AFTER: u32 = 20;
+
+impl Dispatcher {
+    /// Starts tasks as long as credits and policy allow.
+    pub(super) fn pump(&mut self, now: Now, out: &mut Vec<Action>) {
+        let services: Vec<Name> = self
+            .queues
+            .iter()
+            .filter(|(_, queue)| queue.total() > 0)
+            .map(|(service, _)| service.clone())
+            .collect();
+        for service in services {
+            self.note_short_demand(&service);
+            while self.start_one(now, &service, out) {}
+            self.call_for_credits(now, &service, out);
+        }
+    }
+
+    fn note_short_demand(&mut self, service: &Name) {
+        let Some(queue) = self.queues.get(service) else { return };
+        let demand = f64::from(queue.tasks(Class::Short) + self.fleet.on_workers(service, Class::Short));
+        let slots = f64::from(self.fleet.in_hand(service));
+        let peak = self.short_peak.entry(service.clone()).or_default();
+        *peak = peak.max(demand.min(slots));
+    }
+
+    fn start_one(&mut self, now: Now, service: &Name, out: &mut Vec<Action>) -> bool {
+        if self.policy.mode == Mode::Credits && !self.fleet.has_credit(service) {
+            return false;
+        }
+        for class in self.class_order(service) {
+            let Some(queue) = self.queues.get(service) else { return false };
+            if queue.tasks(class) == 0 || class == Class::Long && !self.may_start_long(service) {
+                continue;
+            }
+            for key in queue.candidates(class, CANDIDATES) {
+                if let Some(worker) = self.find_worker(now, key) {
+                    self.start(now, key, worker, out);
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
+    /// Short before long; without class shares, whichever job came first.
+    fn class_order(&self, service: &Name) -> [Class; 2] {
+        if self.policy.class_shares {
+            return Class::ALL;
+        }
+        let arrived = |class: Class| {
+            let key = self.queues.get(service)?.candidates(class, 1).first().copied()?;
+            self.jobs.get(&key).map(|job| job.arrived)
+        };
+        match (arrived(Class::Short), arrived(Class::Long)) {
+            (Some(short), Some(long)) if long < short => [Class::Long, Class::Short],
+            _ => Class::ALL,
+        }
+    }
+
+    /// Long work leaves room for the short work that was seen lately, but at least its share.
+    fn may_start_long(&self, service: &Name) -> bool {
+        if !self.policy.class_shares {
+            return true;
+        }
+        let slots = f64::from(self.fleet.in_hand(service));
+        let percent = self.cluster.as_ref().map_or(100, |c| c.preset().long_share_percent);
+        let share = slots * f64::from(percent) / 100.0;
+        let peak = self.short_peak.get(service).copied().unwrap_or(0.0);
+        let room = (slots - peak * SHORT_MARGIN).min(slots * (1.0 - KEPT_FROM_LONG));
+        let limit = room.max(share).floor().max(1.0);
+        f64::from(self.fleet.on_workers(service, Class::Long)) < limit
+    }
+
+    fn find_worker(&mut self, now: Now, key: JobKey) -> Option<Name> {
+        let expected = self.expected_run(key);
+        let job = self.jobs.get(&key)?;
+        let wanted = Wanted {
+            service: &job.spec.service,
+            needs: job.spec.needs,
+            before: job.workers_before,
+        };
+        let queued = self.queues.get(&job.spec.service)?.tasks(job.spec.class);
+        if self.policy.mode == Mode::Credits {
+            return self.fleet.choose(now.mono, wanted, expected, queued);
+        }
+        let up: Vec<(Name, usize)> = self.fleet.serving(wanted);
+        let pick = |i: usize| up.get(i).cloned();
+        let (name, _) = match self.policy.mode {
+            Mode::RoundRobin => {
+                self.turn += 1;
+                pick(self.turn % up.len().max(1))?
+            }
+            Mode::TwoChoices => {
+                let a = pick(self.rng.usize(0..up.len().max(1)))?;
+                let b = pick(self.rng.usize(0..up.len().max(1)))?;
+                if a.1 <= b.1 { a } else { b }
+            }
+            Mode::Random | Mode::Credits => pick(self.rng.usize(0..up.len().max(1)))?,
+        };
+        Some(name)
+    }
+
+    /// The run time that the job's next task is expected to take on a worker of mean speed.
+    fn expected_run(&self, key: JobKey) -> Duration {
+        let Some(job) = self.jobs.get(&key) else { return Class::Short.prior() };
+        let mean = self.mean_run(&job.spec.service, job.spec.class);
+        let index = job.queued.front().copied().unwrap_or(0);
+        let Some(declared) = job.spec.tasks.get(index as usize).and_then(|task| task.declared) else {
+            return mean;
+        };
+        let id = (job.spec.tenant.clone(), job.spec.class);
+        match self.declared.get(&id) {
+            Some(learned) if learned.seen >= TRUSTED_AFTER && learned.spread < TRUSTED_SPREAD => {
+                declared.mul_f64(learned.bias.exp().clamp(0.001, 1000.0))
+            }
+            _ => mean,
+        }
+    }
+
+    fn start(&mut self, now: Now, key: JobKey, worker: Name, out: &mut Vec<Action>) {
+        let expected = self.expected_run(key);
+        self.dequeue(key);
+        let dispatch = self.next_dispatch;
+        self.next_dispatch += 1;
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Some(index) = job.queued.pop_front() else { return };
+        let tries = job.tries.swap_remove(&index).unwrap_or(0) + 1;
+        job.tasks[index as usize] = TaskState::Sent { worker: worker.clone(), tries };
+        job.started += 1;
+        let (tenant, class, service) =
+            (job.spec.tenant.clone(), job.spec.class, job.spec.service.clone());
+        let task = TaskRef { key, attempt: job.attempt, index, dispatch };
+        let rest = job.deadline.saturating_duration_since(now.mono);
+        let payload = job.spec.tasks[index as usize].payload.clone();
+        let wait = now.mono.duration_since(job.arrived);
+        self.enqueue(key);
+        let backlog = self.queues.get(&service).map_or(0, crate::queue::ServiceQueue::total);
+        let sent = Sent { task, class, service: service.clone(), expected, at: now.mono };
+        self.fleet.start(&worker, sent, backlog);
+        let epoch = self.fleet.workers().get(&worker).map_or(0, |w| w.offer.epoch);
+        let weight = self.weight(&tenant);
+        if let Some(queue) = self.queues.get_mut(&service) {
+            queue.charge(class, &tenant, expected.as_secs_f64(), weight);
+        }
+        self.quotas.started(&tenant);
+        let deadline_ms = rest.as_millis().min(u128::from(u32::MAX)) as u32;
+        let start = Start {
+            key,
+            attempt: task.attempt,
+            index,
+            dispatch,
+            epoch,
+            service,
+            deadline_ms,
+            backlog,
+            payload,
+        };
+        out.push(Action::Send(worker, ToAgent::Start(start)));
+        out.push(Action::Note(Note::Started { tenant, class, wait }));
+    }
+
+    fn weight(&self, tenant: &Name) -> u32 {
+        let cluster = self.cluster.as_ref();
+        cluster.and_then(|c| c.tenants.get(tenant)).map_or(1, |tenant| tenant.value.weight)
+    }
+
+    /// Tells agents that do not know it yet that tasks wait here.
+    fn call_for_credits(&mut self, now: Now, service: &Name, out: &mut Vec<Action>) {
+        let Some(queue) = self.queues.get(service) else { return };
+        let backlog = queue.total();
+        if backlog == 0 || now.mono < self.next_want || self.policy.mode != Mode::Credits {
+            return;
+        }
+        self.next_want = now.mono + WANT_EVERY;
+        for name in self.fleet.uninformed(service, backlog) {
+            out.push(Action::Send(name, ToAgent::Want { backlog }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/api.rs
@@ -0,0 +1,168 @@
+//! HTTP for callers: `docs/API.md`.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use flume::Sender;
+use rouille::{Request, Response};
+use rw_core::answer::{Answer, Failure, FailureKind, Ran};
+use rw_core::dispatcher::JobStatus;
+use rw_core::ids::{JobKey, Name};
+use rw_core::job::JobSpec;
+use rw_host::cluster::Cluster;
+use rw_host::{clock, http};
+
+use crate::callers::Callers;
+use crate::duty::Event;
+use crate::request::{JobAnswer, JobRequest};
+
+/// The largest body of a job, in bytes.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Time beyond a job's deadline after which its caller is let go.
+const GRACE: Duration = Duration::from_secs(2);
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The callers' side of an entry.
+#[derive(Clone, Debug)]
+pub struct Api {
+    /// Where jobs go.
+    pub tx: Sender<Event>,
+    /// Who waits.
+    pub callers: Callers,
+    /// How many may wait.
+    pub max_callers: usize,
+    /// The configuration in force.
+    pub cluster: Cluster,
+    /// Whether jobs can be accepted.
+    pub ready: Arc<AtomicBool>,
+}
+
+impl Api {
+    /// Answers a request.
+    pub fn handle(&self, req: &Request) -> Response {
+        if let Some(response) = http::common(req, self.ready.load(Ordering::Acquire)) {
+            return response;
+        }
+        let path = req.url();
+        let result = match (req.method(), path.strip_prefix("/v1/jobs")) {
+            ("POST", Some("")) => self.submit(req),
+            ("GET", Some(rest)) => self.status(req, rest),
+            ("DELETE", Some(rest)) => self.cancel(req, rest),
+            _ => Err(http::problem("not-found", 404, "no such path", None)),
+        };
+        result.unwrap_or_else(|response| response)
+    }
+
+    fn submit(&self, req: &Request) -> Result<Response, Response> {
+        let job: JobRequest = http::json_body(req, MAX_BODY_BYTES)?;
+        self.check_token(req, job.tenant())?;
+        let spec = job
+            .into_spec(req.header("Idempotency-Key"), clock::now())
+            .map_err(|failure| failed(&failure))?;
+        let key = spec.key;
+        Ok(match self.run(spec) {
+            Ok(results) => http::json(&JobAnswer::new(key, &results)),
+            Err(failure) => failed(&failure),
+        })
+    }
+
+    fn run(&self, spec: JobSpec) -> Answer {
+        let patience = spec.deadline + GRACE;
+        let busy = || {
+            let kind = FailureKind::Overloaded;
+            let detail = "too many callers wait at this entry";
+            let failure = if spec.keyed { Failure::unknown(kind, detail) } else { Failure::not_run(kind, detail) };
+            Err(failure.retry_after(1))
+        };
+        let Some(caller) = self.callers.enter(self.max_callers) else { return busy() };
+        if self.tx.send_timeout(Event::Submit(spec.clone(), caller.number), QUESTION_TIMEOUT).is_err() {
+            return busy();
+        }
+        caller.rx.recv_timeout(patience).unwrap_or_else(|_| {
+            Err(Failure::unknown(FailureKind::DeadlinePassed, "no answer within the deadline"))
+        })
+    }
+
+    fn status(&self, req: &Request, path: &str) -> Result<Response, Response> {
+        let key = key_in(path)?;
+        let tenant = self.tenant_of_token(req)?;
+        match self.ask(|tx| Event::Status(key, tx))? {
+            Some((owner, status)) if owner.as_ref().is_none_or(|owner| *owner == tenant) => {
+                Ok(http::json(&status))
+            }
+            _ => Err(no_such_job()),
+        }
+    }
+
+    fn cancel(&self, req: &Request, path: &str) -> Result<Response, Response> {
+        let key = key_in(path)?;
+        let tenant = self.tenant_of_token(req)?;
+        if self.ask(|tx| Event::Cancel(key, tenant, tx))? {
+            Ok(Response::empty_204())
+        } else {
+            Err(no_such_job())
+        }
+    }
+
+    fn ask<T, F>(&self, event: F) -> Result<T, Response>
+    where
+        F: FnOnce(Sender<T>) -> Event,
+    {
+        let busy = || http::problem("overloaded", 503, "the entry is busy", None);
+        let (tx, rx) = flume::bounded(1);
+        self.tx.send_timeout(event(tx), QUESTION_TIMEOUT).map_err(|_| busy())?;
+        rx.recv_timeout(QUESTION_TIMEOUT).map_err(|_| busy())
+    }
+
+    /// Checks the caller's token against the tenant's.
+    fn check_token(&self, req: &Request, tenant: &Name) -> Result<(), Response> {
+        let Some(state) = self.cluster.state() else {
+            let failure = Failure::unknown(FailureKind::NotReady, "no configuration yet");
+            return Err(failed(&failure.retry_after(1)));
+        };
+        let Some(known) = state.tenants.get(tenant) else {
+            return Err(failed(&Failure::not_run(FailureKind::UnknownTenant, "no such tenant")));
+        };
+        let hash = http::bearer_hash(req);
+        if hash.is_some_and(|hash| known.value.token_hashes.contains(&hash)) {
+            return Ok(());
+        }
+        Err(failed(&Failure::not_run(FailureKind::Unauthorized, "the token is not one of the tenant's")))
+    }
+
+    fn tenant_of_token(&self, req: &Request) -> Result<Name, Response> {
+        let hash = http::bearer_hash(req);
+        let state = self.cluster.state();
+        let found = state.iter().flat_map(|state| &state.tenants).find(|(_, tenant)| {
+            hash.as_ref().is_some_and(|hash| tenant.value.token_hashes.contains(hash))
+        });
+        found.map(|(name, _)| name.clone()).ok_or_else(|| {
+            failed(&Failure::unknown(FailureKind::Unauthorized, "the token is no tenant's"))
+        })
+    }
+}
+
+/// What [`Event::Status`] is replied to with.
+pub type StatusReply = Option<(Option<Name>, JobStatus)>;
+
+fn key_in(path: &str) -> Result<JobKey, Response> {
+    path.strip_prefix('/').and_then(JobKey::parse).ok_or_else(no_such_job)
+}
+
+fn no_such_job() -> Response {
+    failed(&Failure::unknown(FailureKind::NoSuchJob, "no such job at this entry"))
+}
+
+fn failed(failure: &Failure) -> Response {
+    let outcome = match failure.ran {
+        Ran::NotRun => "not-run",
+        Ran::Unknown => "unknown",
+    };
+    let kind = failure.kind;
+    let response = http::problem(kind.as_str(), kind.http_status(), &failure.detail, Some(outcome));
+    match failure.retry_after_s {
+        Some(seconds) => response.with_additional_header("Retry-After", seconds.to_string()),
+        None => response,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,59 @@
+//! Callers that wait for answers.
+
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use flume::{Receiver, Sender};
+use indexmap::IndexMap;
+use rw_core::answer::Answer;
+
+/// All callers of this entry.
+#[derive(Clone, Debug, Default)]
+pub struct Callers(Arc<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    next: AtomicU64,
+    waiting: AtomicUsize,
+    by_number: Mutex<IndexMap<u64, Sender<Answer>>>,
+}
+
+/// One waiting caller; it leaves when dropped.
+#[derive(Debug)]
+pub struct Caller {
+    /// Its number.
+    pub number: u64,
+    /// Where its answer arrives.
+    pub rx: Receiver<Answer>,
+    callers: Callers,
+}
+
+impl Callers {
+    /// Adds a caller, unless `max` wait already.
+    pub fn enter(&self, max: usize) -> Option<Caller> {
+        if self.0.waiting.fetch_add(1, Ordering::AcqRel) >= max {
+            self.0.waiting.fetch_sub(1, Ordering::AcqRel);
+            return None;
+        }
+        let number = self.0.next.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = flume::bounded(1);
+        self.0.by_number.lock().unwrap_or_else(PoisonError::into_inner).insert(number, tx);
+        Some(Caller { number, rx, callers: self.clone() })
+    }
+
+    /// Answers a caller, if it still waits.
+    pub fn answer(&self, number: u64, answer: Answer) {
+        let tx = self.0.by_number.lock().unwrap_or_else(PoisonError::into_inner).swap_remove(&number);
+        if let Some(tx) = tx {
+            let _ = tx.try_send(answer);
+        }
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        let mut by_number = self.callers.0.by_number.lock().unwrap_or_else(PoisonError::into_inner);
+        by_number.swap_remove(&self.number);
+        self.callers.0.waiting.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/duty.rs
@@ -0,0 +1,249 @@
+//! The entry's main duty: feeds the dispatcher with events and carries out its actions.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use flume::{Receiver, RecvTimeoutError, Sender};
+use indexmap::IndexMap;
+use rw_core::dispatcher::{Action, Dispatcher, Now};
+use rw_core::ids::{JobKey, Name};
+use rw_core::job::JobSpec;
+use rw_core::linking::peers_for;
+use rw_core::msg::{Ask, Msg, Role, Told};
+use rw_host::cluster::{Cluster, ClusterEvent, ClusterSetup};
+use rw_host::dial::Dialer;
+use rw_host::http::Pending;
+use rw_host::link::{Link, LinkEvent, Linker};
+use rw_host::program::{self, Args};
+use rw_host::settings::{self, SettingsError};
+use rw_host::{clock, http, logging};
+use thiserror::Error;
+
+use crate::api::{Api, StatusReply};
+use crate::callers::Callers;
+use crate::settings::Settings;
+use crate::stats;
+
+/// How often the core acts on the passing of time.
+const TICK: Duration = Duration::from_millis(20);
+/// Events that may wait for the core.
+const EVENT_QUEUE: usize = 64 * 1024;
+/// Events handled before their actions are carried out.
+const BATCH: usize = 64;
+
+/// What the core is fed with.
+#[derive(Debug)]
+pub enum Event {
+    /// A caller's job, with the caller's number.
+    Submit(JobSpec, u64),
+    /// A question for a job's state.
+    Status(JobKey, Sender<StatusReply>),
+    /// A tenant cancels a job; replied to with whether it was known.
+    Cancel(JobKey, Name, Sender<bool>),
+    /// On a link.
+    Link(LinkEvent),
+    /// In the cluster.
+    Cluster(ClusterEvent),
+    /// Drain, then end.
+    Shutdown,
+}
+
+/// Why the entry cannot start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The settings are wrong.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// A socket or thread cannot be had.
+    #[error("start: {0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// Runs the entry until it is told to end.
+pub fn run(args: &Args) -> Result<(), StartError> {
+    let loaded = settings::load::<Settings>(&args.settings)?;
+    let bound = loaded.bind(&loaded.settings.node)?;
+    if args.check {
+        println!("{}: ok", args.settings.display());
+        return Ok(());
+    }
+    let Settings { node, log, entry, policy } = loaded.settings;
+    logging::init(&log);
+    let (tx, rx) = flume::bounded(EVENT_QUEUE);
+    let cluster_tx = tx.clone();
+    let setup = ClusterSetup {
+        node: node.clone(),
+        role: Role::Entry,
+        incarnation: clock::wall().0,
+        follows: true,
+        sink: Arc::new(move |event| drop(cluster_tx.send(Event::Cluster(event)))),
+    };
+    let link_tx = tx.clone();
+    let linker = Linker {
+        key: bound.key.clone(),
+        hello: setup.hello(),
+        sink: Arc::new(move |event| drop(link_tx.send(Event::Link(event)))),
+    };
+    let cluster = setup.start(&bound)?;
+    linker.accept(bound.link);
+    let callers = Callers::default();
+    let ready = Arc::new(AtomicBool::new(false));
+    let api = Api {
+        tx: tx.clone(),
+        callers: callers.clone(),
+        max_callers: entry.max_callers,
+        cluster: cluster.clone(),
+        ready: ready.clone(),
+    };
+    // More threads than callers, so that a refusal never waits for a thread.
+    let pending = http::serve(node.http, entry.max_callers * 2, move |req| api.handle(req))?;
+    let signal = program::shutdown_signal()?;
+    rw_host::link::spawn("shutdown", move || {
+        if signal.recv().is_ok() {
+            let _ = tx.send(Event::Shutdown);
+        }
+    });
+    let me = linker.hello.node.clone();
+    let duty = Duty {
+        core: Dispatcher::new(me, policy, Instant::now(), fastrand::Rng::new()),
+        dialer: Dialer::new(cluster.clone(), linker),
+        cluster,
+        callers,
+        pending,
+        links: IndexMap::new(),
+        by_name: IndexMap::new(),
+        ready,
+        leaving: false,
+        next_tick: Instant::now(),
+    };
+    log::info!(node:% = node.name, link:% = node.link, http:% = node.http; "entry started");
+    duty.run(&rx);
+    Ok(())
+}
+
+struct Duty {
+    core: Dispatcher,
+    dialer: Dialer,
+    cluster: Cluster,
+    callers: Callers,
+    pending: Pending,
+    links: IndexMap<u64, Link>,
+    /// The newest link of each agent and entry; older ones are not listened to.
+    by_name: IndexMap<Name, u64>,
+    ready: Arc<AtomicBool>,
+    leaving: bool,
+    next_tick: Instant,
+}
+
+impl Duty {
+    fn run(mut self, rx: &Receiver<Event>) {
+        let mut out = Vec::new();
+        loop {
+            let mut event = match rx.recv_timeout(TICK) {
+                Ok(event) => Some(event),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let now = clock::now();
+            for _ in 0..BATCH {
+                let Some(next) = event else { break };
+                self.on_event(now, next, &mut out);
+                event = rx.try_recv().ok();
+            }
+            if let Some(event) = event {
+                self.on_event(now, event, &mut out);
+            }
+            if now.mono >= self.next_tick {
+                self.next_tick = now.mono + TICK;
+                self.core.tick(now, &mut out);
+                let placed = self.core.cluster().is_some_and(|cluster| !cluster.shards.is_empty());
+                self.ready.store(placed && !self.leaving, Ordering::Release);
+                stats::held(&self.core);
+            }
+            for action in out.drain(..) {
+                self.act(action);
+            }
+            if self.leaving && self.core.open_jobs() == 0 && self.pending.count() == 0 {
+                log::info!("entry ended");
+                return;
+            }
+        }
+    }
+
+    fn on_event(&mut self, now: Now, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Submit(spec, caller) => self.core.submit(now, spec, caller, out),
+            Event::Status(key, reply) => drop(reply.send(self.core.status(key))),
+            Event::Cancel(key, tenant, reply) => {
+                let known = self.core.cancel(now, key, &tenant, out);
+                let _ = reply.send(known);
+            }
+            Event::Link(event) => self.on_link(now, event, out),
+            Event::Cluster(ClusterEvent::State(state)) => self.core.on_config(state),
+            Event::Cluster(ClusterEvent::Members(members)) => {
+                self.dialer.want(peers_for(&self.cluster.hello.node.name, &members));
+                self.core.on_members(now, members, out);
+            }
+            Event::Shutdown => {
+                log::info!(open_jobs = self.core.open_jobs(); "entry draining");
+                self.leaving = true;
+                self.cluster.set_leaving();
+                self.core.drain();
+            }
+        }
+    }
+
+    fn on_link(&mut self, now: Now, event: LinkEvent, out: &mut Vec<Action>) {
+        match event {
+            LinkEvent::Up(link) => {
+                let peer = link.peer.clone();
+                if peer.role != Role::Tool {
+                    self.by_name.insert(peer.node.name.clone(), link.id);
+                }
+                self.links.insert(link.id, link);
+                if peer.role == Role::Agent {
+                    self.core.agent_up(now, peer.node, out);
+                }
+            }
+            LinkEvent::Msg(id, msg) => self.on_msg(now, id, msg, out),
+            LinkEvent::Down(id) => {
+                let Some(link) = self.links.swap_remove(&id) else { return };
+                let name = link.peer.node.name;
+                if self.by_name.get(&name) == Some(&id) {
+                    self.by_name.swap_remove(&name);
+                    self.core.agent_down(&name);
+                }
+            }
+        }
+    }
+
+    fn on_msg(&mut self, now: Now, id: u64, msg: Msg, out: &mut Vec<Action>) {
+        let Some(link) = self.links.get(&id) else { return };
+        let node = link.peer.node.clone();
+        let newest = self.by_name.get(&node.name) == Some(&id);
+        match msg {
+            Msg::ToEntry(msg) if newest => self.core.on_agent(now, &node.name, msg, out),
+            Msg::Ping if newest => self.core.heard(now, &node.name),
+            Msg::Peer(msg) if newest => self.core.on_peer(now, &node, msg, out),
+            Msg::Ask(Ask::Sync { revision }) => self.cluster.answer(link, revision),
+            Msg::Ask(Ask::Seal { .. }) => link.send(Msg::Told(Told::Unable)),
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send(agent, msg) => self.send(&agent, Msg::ToAgent(msg)),
+            Action::Peer(entry, msg) => self.send(&entry, Msg::Peer(msg)),
+            Action::Answer(caller, answer) => self.callers.answer(caller, answer),
+            Action::Note(note) => stats::note(&note),
+        }
+    }
+
+    fn send(&self, name: &Name, msg: Msg) {
+        if let Some(link) = self.by_name.get(name).and_then(|id| self.links.get(id)) {
+            link.send(msg);
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,11 @@
+//! Adapters that redwingwick's programs share: links, datagrams, settings, logs, metrics, HTTP.
+
+pub mod clock;
+pub mod cluster;
+pub mod dial;
+pub mod http;
+pub mod link;
+pub mod logging;
+pub mod metrics;
+pub mod program;
+pub mod settings;
