Questions no longer pass for an agent's lasting link

Cause: a one-off question (Ask) greeted with the asker's own role, so an entry took an agent's question for its link, sent claims and starts there, and lost them when the question ended. Ruled out: a late placement (entry and agents were at the same revision) and busy replicas (161 claims sent, 1 arrived). Change: questions greet as a tool.

--- a/crates/host/src/link.rs
+++ b/crates/host/src/link.rs
@@ -13,7 +13,7 @@
 use flume::{Receiver, RecvTimeoutError, Sender};
 use rw_core::codec::{ClusterKey, CodecError, NONCE_BYTES, Opener, Sealer, TAG_BYTES};
 use rw_core::fleet::SILENCE_LIMIT;
-use rw_core::msg::{Ask, Hello, Msg, Told};
+use rw_core::msg::{Ask, Hello, Msg, Role, Told};
 use thiserror::Error;
 
 use crate::metrics;
@@ -189,7 +189,9 @@
 /// Asks one question on a connection of its own.
 pub fn ask(addr: SocketAddr, key: &ClusterKey, hello: &Hello, ask: Ask) -> Result<Told, LinkError> {
     let stream = TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT).at("connect", addr)?;
-    let (mut wire, _) = Wire::open(stream, key, hello, true)?;
+    // A question must not pass for the asker's lasting link.
+    let hello = Hello { role: Role::Tool, ..hello.clone() };
+    let (mut wire, _) = Wire::open(stream, key, &hello, true)?;
     wire.write(&Msg::Ask(ask)).at("ask", addr)?;
     loop {
         match wire.read().at("await reply", addr)? {
