--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -40,7 +40,10 @@
         Ok(announced) => announced,
         Err(response) => return response,
     };
-    if announced.slots == 0 || announced.services.is_empty() || !announced.url.starts_with("http://") {
+    if announced.slots == 0
+        || announced.services.is_empty()
+        || !announced.url.starts_with("http://")
+    {
         let detail = "slots must be at least 1, services not empty, url http://ADDRESS:PORT";
         return http::problem("malformed", 400, detail, None);
     }
--- a/crates/agent/src/calls.rs
+++ b/crates/agent/src/calls.rs
@@ -36,7 +36,13 @@
     /// A pool without threads.
     pub fn new(sink: EndSink) -> Self {
         let (tx, rx) = flume::bounded(MAX_CALLS);
-        Self { tx, rx, idle: Arc::default(), threads: 0, sink }
+        Self {
+            tx,
+            rx,
+            idle: Arc::default(),
+            threads: 0,
+            sink,
+        }
     }
 
     /// Makes a call.
@@ -45,7 +51,9 @@
             self.threads += 1;
             self.add_thread();
         }
-        if let Err(flume::TrySendError::Full(run) | flume::TrySendError::Disconnected(run)) = self.tx.try_send(run) {
+        if let Err(flume::TrySendError::Full(run) | flume::TrySendError::Disconnected(run)) =
+            self.tx.try_send(run)
+        {
             (self.sink)(run, RunEnd::NotStarted, Duration::ZERO);
         }
     }
@@ -106,5 +114,8 @@
 }
 
 fn failed(run: &Run, reason: &dyn std::fmt::Display) -> RunEnd {
-    RunEnd::Ended(TaskResult::Failed(format!("call to backend server {}: {reason}", run.backend)))
+    RunEnd::Ended(TaskResult::Failed(format!(
+        "call to backend server {}: {reason}",
+        run.backend
+    )))
 }
--- a/crates/agent/src/duty.rs
+++ b/crates/agent/src/duty.rs
@@ -105,7 +105,9 @@
     core.set_queue_here(agent.queue_here);
     let duty = Duty {
         core,
-        calls: Calls::new(Arc::new(move |run, end, time| drop(end_tx.send(Event::Ended(run, end, time))))),
+        calls: Calls::new(Arc::new(move |run, end, time| {
+            drop(end_tx.send(Event::Ended(run, end, time)));
+        })),
         dialer: Dialer::new(cluster.clone(), linker),
         cluster,
         key: bound.key,
@@ -173,7 +175,8 @@
             Event::Link(event) => self.on_link(event, out),
             Event::Cluster(ClusterEvent::State(state)) => self.core.on_config(state, out),
             Event::Cluster(ClusterEvent::Members(members)) => {
-                self.dialer.want(entries_for(&self.cluster.hello.node.name, &members));
+                self.dialer
+                    .want(entries_for(&self.cluster.hello.node.name, &members));
             }
             Event::Announce(announced, reply) => {
                 self.core.announce(now, announced, out);
@@ -202,7 +205,9 @@
 
     fn on_sealed(&mut self, sealed: SealedShard) -> bool {
         let cluster = self.core.cluster().clone();
-        let Some(shard) = cluster.shards.get(sealed.shard as usize) else { return true };
+        let Some(shard) = cluster.shards.get(sealed.shard as usize) else {
+            return true;
+        };
         self.core.registry().on_sealed(sealed, shard)
     }
 
@@ -220,7 +225,9 @@
             }
             LinkEvent::Msg(id, msg) => self.on_msg(id, msg, out),
             LinkEvent::Down(id) => {
-                let Some(link) = self.links.swap_remove(&id) else { return };
+                let Some(link) = self.links.swap_remove(&id) else {
+                    return;
+                };
                 let name = link.peer.node.name;
                 if self.entries.get(&name) == Some(&id) {
                     self.entries.swap_remove(&name);
@@ -231,7 +238,9 @@
     }
 
     fn on_msg(&mut self, id: u64, msg: Msg, out: &mut Vec<Action>) {
-        let Some(link) = self.links.get(&id) else { return };
+        let Some(link) = self.links.get(&id) else {
+            return;
+        };
         match msg {
             Msg::ToAgent(msg) => {
                 let name = link.peer.node.name.clone();
@@ -258,7 +267,12 @@
             }
             Action::Run(run) => self.calls.start(run),
             Action::Collect(collect) => {
-                replicas::collect(collect, self.cluster.clone(), self.key.clone(), self.tx.clone());
+                replicas::collect(
+                    collect,
+                    self.cluster.clone(),
+                    self.key.clone(),
+                    self.tx.clone(),
+                );
             }
         }
     }
@@ -266,7 +280,8 @@
     /// Tells readiness: a configuration is in force and the shards held here are served.
     fn publish(&mut self) {
         let cluster = self.core.cluster().clone();
-        self.ready.store(cluster.revision > 0 && !self.leaving, Ordering::Release);
+        self.ready
+            .store(cluster.revision > 0 && !self.leaving, Ordering::Release);
         if cluster.revision > self.ready_for && self.core.registry().is_ready(&cluster) {
             self.ready_for = cluster.revision;
             self.cluster.set_ready_for(cluster.revision);
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -12,6 +12,7 @@
 use rw_host::program;
 
 fn main() -> ExitCode {
-    let matches = program::command("rw-agent", "Runs tasks on the backend servers of one VM").get_matches();
+    let matches =
+        program::command("rw-agent", "Runs tasks on the backend servers of one VM").get_matches();
     program::exit("rw-agent", duty::run(&program::args(&matches)))
 }
--- a/crates/agent/src/replicas.rs
+++ b/crates/agent/src/replicas.rs
@@ -33,7 +33,10 @@
 
 fn is_current(collect: &Collect, cluster: &Cluster) -> bool {
     cluster.state().is_some_and(|state| {
-        state.shards.get(collect.shard as usize).is_some_and(|shard| shard.version == collect.version)
+        state
+            .shards
+            .get(collect.shard as usize)
+            .is_some_and(|shard| shard.version == collect.version)
     })
 }
 
@@ -41,8 +44,13 @@
 fn round(collect: &Collect, cluster: &Cluster, key: &ClusterKey, tx: &Sender<Event>) -> bool {
     let members = cluster.members();
     for node in &collect.from {
-        let Some(member) = members.iter().find(|m| m.node == *node) else { continue };
-        let question = Ask::Seal { shard: collect.shard, version: collect.version };
+        let Some(member) = members.iter().find(|m| m.node == *node) else {
+            continue;
+        };
+        let question = Ask::Seal {
+            shard: collect.shard,
+            version: collect.version,
+        };
         match ask(member.link, key, &cluster.hello, question) {
             Ok(Told::Sealed(sealed)) => {
                 let (reply_tx, reply_rx) = flume::bounded(1);
--- a/crates/agent/src/stats.rs
+++ b/crates/agent/src/stats.rs
@@ -10,7 +10,11 @@
 use rw_host::metrics;
 
 static RUNS: LazyLock<HistogramVec> = LazyLock::new(|| {
-    metrics::histograms("rw_agent_run_seconds", "Run time of tasks on backend servers", &["service", "end"])
+    metrics::histograms(
+        "rw_agent_run_seconds",
+        "Run time of tasks on backend servers",
+        &["service", "end"],
+    )
 });
 
 /// Notes the end of a call.
@@ -20,13 +24,20 @@
         RunEnd::Ended(TaskResult::Failed(_)) => "failed",
         RunEnd::NotStarted => "not-started",
     };
-    RUNS.with_label_values(&[service, label]).observe(run.as_secs_f64());
+    RUNS.with_label_values(&[service, label])
+        .observe(run.as_secs_f64());
 }
 
 /// Notes what is held.
 pub fn held(agent: &Agent) {
     let (tasks, records, dropped) = agent.sizes();
-    metrics::HELD.with_label_values(&["remembered_tasks"]).set(tasks as i64);
-    metrics::HELD.with_label_values(&["registry_records"]).set(records as i64);
-    metrics::HELD.with_label_values(&["doubled_starts_dropped"]).set(dropped as i64);
+    metrics::HELD
+        .with_label_values(&["remembered_tasks"])
+        .set(tasks as i64);
+    metrics::HELD
+        .with_label_values(&["registry_records"])
+        .set(records as i64);
+    metrics::HELD
+        .with_label_values(&["doubled_starts_dropped"])
+        .set(dropped as i64);
 }
--- a/crates/backend/src/announcer.rs
+++ b/crates/backend/src/announcer.rs
@@ -12,7 +12,11 @@
 const RENEW_EVERY: Duration = Duration::from_millis(400);
 const TIMEOUT: Duration = Duration::from_millis(800);
 const CONNECTIONS: u32 = 64;
-const SIZE: Needs = Needs { cores: 16, memory_mb: 65_536, accelerators: 1 };
+const SIZE: Needs = Needs {
+    cores: 16,
+    memory_mb: 65_536,
+    accelerators: 1,
+};
 
 /// Keeps announcing, in a thread of its own.
 pub fn start(behaviour: &Behaviour) {
@@ -20,7 +24,11 @@
     let announcement = Announcement {
         name: behaviour.name.as_str().into(),
         url: format!("http://{}", behaviour.listen).into(),
-        services: behaviour.services.iter().map(|service| service.as_str().into()).collect(),
+        services: behaviour
+            .services
+            .iter()
+            .map(|service| service.as_str().into())
+            .collect(),
         slots: behaviour.slots,
         connections: CONNECTIONS,
         size: SIZE,
--- a/crates/backend/src/behaviour.rs
+++ b/crates/backend/src/behaviour.rs
@@ -33,12 +33,28 @@
     Command::new("rw-backend")
         .version(env!("CARGO_PKG_VERSION"))
         .about("A small backend server for tests and measurements")
-        .arg(arg("listen", "Where to serve").required(true).value_parser(value_parser!(SocketAddr)))
+        .arg(
+            arg("listen", "Where to serve")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr)),
+        )
         .arg(arg("agent", "The agent's HTTP address").value_parser(value_parser!(SocketAddr)))
         .arg(arg("name", "Its name").default_value("backend"))
-        .arg(arg("service", "A service that it serves").action(ArgAction::Append).default_value("echo"))
-        .arg(arg("slots", "Tasks at once").default_value("8").value_parser(value_parser!(u32)))
-        .arg(arg("speed", "Run times are divided by this").default_value("1").value_parser(value_parser!(f64)))
+        .arg(
+            arg("service", "A service that it serves")
+                .action(ArgAction::Append)
+                .default_value("echo"),
+        )
+        .arg(
+            arg("slots", "Tasks at once")
+                .default_value("8")
+                .value_parser(value_parser!(u32)),
+        )
+        .arg(
+            arg("speed", "Run times are divided by this")
+                .default_value("1")
+                .value_parser(value_parser!(f64)),
+        )
         .arg(arg("fail", "Fail every task at once").action(ArgAction::SetTrue))
         .arg(arg("journal", "File that records every start").value_parser(value_parser!(PathBuf)))
 }
@@ -62,7 +78,9 @@
 
     /// The time that a task with this payload takes here.
     pub fn run_time(&self, payload: &str) -> Duration {
-        let ms: f64 = field(payload, "run").and_then(|value| value.parse().ok()).unwrap_or(0.0);
+        let ms: f64 = field(payload, "run")
+            .and_then(|value| value.parse().ok())
+            .unwrap_or(0.0);
         Duration::from_secs_f64((ms / 1000.0 / self.speed).max(0.0))
     }
 
@@ -74,5 +92,7 @@
 
 /// The value of a field of a payload.
 pub fn field<'a>(payload: &'a str, name: &str) -> Option<&'a str> {
-    payload.split_whitespace().find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
+    payload
+        .split_whitespace()
+        .find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
 }
--- a/crates/backend/src/main.rs
+++ b/crates/backend/src/main.rs
@@ -13,5 +13,8 @@
 
 fn main() -> ExitCode {
     let matches = behaviour::command().get_matches();
-    program::exit("rw-backend", server::run(behaviour::Behaviour::new(&matches)))
+    program::exit(
+        "rw-backend",
+        server::run(behaviour::Behaviour::new(&matches)),
+    )
 }
--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -17,21 +17,39 @@
         .subcommand(tenant())
         .subcommand(preset())
         .subcommand(worker())
-        .subcommand(Command::new("check").about("Checks settings files by their programs' rules").arg(
-            Arg::new("file").required(true).value_parser(value_parser!(PathBuf)).help("The settings file"),
-        ))
-        .subcommand(Command::new("hash-token").about("Prints the hash of the token on standard input"))
         .subcommand(
-            Command::new("completions").about("Prints shell completions").arg(
-                Arg::new("shell")
-                    .required(true)
-                    .value_parser(value_parser!(clap_complete::Shell))
-                    .help("The shell"),
-            ),
-        )
-        .subcommand(Command::new("man").about("Writes man pages into a folder").arg(
-            Arg::new("folder").required(true).value_parser(value_parser!(PathBuf)).help("The folder"),
-        ))
+            Command::new("check")
+                .about("Checks settings files by their programs' rules")
+                .arg(
+                    Arg::new("file")
+                        .required(true)
+                        .value_parser(value_parser!(PathBuf))
+                        .help("The settings file"),
+                ),
+        )
+        .subcommand(
+            Command::new("hash-token").about("Prints the hash of the token on standard input"),
+        )
+        .subcommand(
+            Command::new("completions")
+                .about("Prints shell completions")
+                .arg(
+                    Arg::new("shell")
+                        .required(true)
+                        .value_parser(value_parser!(clap_complete::Shell))
+                        .help("The shell"),
+                ),
+        )
+        .subcommand(
+            Command::new("man")
+                .about("Writes man pages into a folder")
+                .arg(
+                    Arg::new("folder")
+                        .required(true)
+                        .value_parser(value_parser!(PathBuf))
+                        .help("The folder"),
+                ),
+        )
 }
 
 fn global() -> [Arg; 4] {
@@ -67,17 +85,29 @@
 }
 
 fn name(help: &'static str) -> Arg {
-    Arg::new("name").required(true).value_name("NAME").help(help)
+    Arg::new("name")
+        .required(true)
+        .value_name("NAME")
+        .help(help)
 }
 
 fn number(id: &'static str, help: &'static str) -> Arg {
-    Arg::new(id).long(id).value_parser(value_parser!(u32)).value_name("N").help(help)
+    Arg::new(id)
+        .long(id)
+        .value_parser(value_parser!(u32))
+        .value_name("N")
+        .help(help)
 }
 
 fn status() -> Command {
     Command::new("status")
         .about("Shows the configuration and what is in force where")
-        .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("As JSON"))
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("As JSON"),
+        )
         .arg(
             Arg::new("any")
                 .long("any")
@@ -94,9 +124,16 @@
             Command::new("put")
                 .about("Creates or replaces a service")
                 .arg(name("The service"))
-                .arg(number("max-queued-tasks", "Tasks that may wait at one entry")),
+                .arg(number(
+                    "max-queued-tasks",
+                    "Tasks that may wait at one entry",
+                )),
+        )
+        .subcommand(
+            Command::new("remove")
+                .about("Removes a service")
+                .arg(name("The service")),
         )
-        .subcommand(Command::new("remove").about("Removes a service").arg(name("The service")))
 }
 
 fn tenant() -> Command {
@@ -109,7 +146,10 @@
                 .arg(name("The tenant"))
                 .arg(number("weight", "Share among tenants").default_value("1"))
                 .arg(number("rate", "Task starts a second; 0 is no limit").default_value("0"))
-                .arg(number("concurrency", "Tasks waiting or running; 0 is no limit").default_value("0"))
+                .arg(
+                    number("concurrency", "Tasks waiting or running; 0 is no limit")
+                        .default_value("0"),
+                )
                 .arg(
                     Arg::new("token-hash")
                         .long("token-hash")
@@ -118,7 +158,11 @@
                         .help("Hash of a caller token, from hash-token"),
                 ),
         )
-        .subcommand(Command::new("remove").about("Removes a tenant").arg(name("The tenant")))
+        .subcommand(
+            Command::new("remove")
+                .about("Removes a tenant")
+                .arg(name("The tenant")),
+        )
 }
 
 fn preset() -> Command {
@@ -138,20 +182,45 @@
                         .help("Classes that are accepted"),
                 )
                 .arg(number("long-share-percent", "Share of slots for long work"))
-                .arg(number("quota-percent", "Tenants' limits as a share of their quotas"))
-                .arg(number("max-wait-ms", "Longest expected wait that is accepted"))
-                .arg(number("dedupe-window-s", "How long keys and results are remembered")),
+                .arg(number(
+                    "quota-percent",
+                    "Tenants' limits as a share of their quotas",
+                ))
+                .arg(number(
+                    "max-wait-ms",
+                    "Longest expected wait that is accepted",
+                ))
+                .arg(number(
+                    "dedupe-window-s",
+                    "How long keys and results are remembered",
+                )),
+        )
+        .subcommand(
+            Command::new("use")
+                .about("Puts a preset in force")
+                .arg(name("The preset")),
+        )
+        .subcommand(
+            Command::new("remove")
+                .about("Removes a preset")
+                .arg(name("The preset")),
         )
-        .subcommand(Command::new("use").about("Puts a preset in force").arg(name("The preset")))
-        .subcommand(Command::new("remove").about("Removes a preset").arg(name("The preset")))
 }
 
 fn worker() -> Command {
     Command::new("worker")
         .about("Drains workers, or declares them gone")
         .subcommand_required(true)
-        .subcommand(Command::new("drain").about("Gives a worker no new work").arg(name("The worker")))
-        .subcommand(Command::new("undrain").about("Gives a worker work again").arg(name("The worker")))
+        .subcommand(
+            Command::new("drain")
+                .about("Gives a worker no new work")
+                .arg(name("The worker")),
+        )
+        .subcommand(
+            Command::new("undrain")
+                .about("Gives a worker work again")
+                .arg(name("The worker")),
+        )
         .subcommand(
             Command::new("forget")
                 .about("Declares that a worker's process is surely gone")
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -50,7 +50,11 @@
 impl Client {
     /// From the global arguments.
     pub fn new(matches: &ArgMatches) -> Self {
-        let nodes = matches.get_many::<String>("control").into_iter().flatten().cloned();
+        let nodes = matches
+            .get_many::<String>("control")
+            .into_iter()
+            .flatten()
+            .cloned();
         Self {
             nodes: nodes.collect(),
             token: crate::app::get(matches, "token").unwrap_or_default(),
@@ -66,7 +70,11 @@
 
     /// The same as JSON text.
     pub fn status_text(&self, any: bool) -> Result<String, Error> {
-        let path = if any { "/v1/status" } else { "/v1/status?confirmed=1" };
+        let path = if any {
+            "/v1/status"
+        } else {
+            "/v1/status?confirmed=1"
+        };
         let mut last = String::new();
         for round in 0..ROUNDS {
             pause(round);
@@ -74,7 +82,9 @@
                 match self.call(node, attohttpc::get(format!("http://{node}{path}")), None) {
                     Reply::Answer(200, text) => return Ok(text),
                     Reply::Answer(401, text) => return Err(Error::Invalid(text)),
-                    Reply::Answer(_, text) | Reply::Elsewhere(text) | Reply::Lost(text) => last = text,
+                    Reply::Answer(_, text) | Reply::Elsewhere(text) | Reply::Lost(text) => {
+                        last = text;
+                    }
                 }
             }
         }
@@ -88,7 +98,11 @@
             None => self.status(false)?.state.revision,
         };
         let request_id = self.request_id.unwrap_or_else(Uuid::now_v7);
-        let req = ChangeRequest { request_id, base, change };
+        let req = ChangeRequest {
+            request_id,
+            base,
+            change,
+        };
         let body = serde_json::to_string(&req).map_err(|e| Error::Invalid(e.to_string()))?;
         let mut lost = None;
         let mut last = String::new();
@@ -117,7 +131,10 @@
             .proxy_settings(ProxySettings::builder().build())
             .header("Authorization", format!("Bearer {}", self.token));
         let sent = match body {
-            Some(body) => req.header("Content-Type", "application/json").text(body).send(),
+            Some(body) => req
+                .header("Content-Type", "application/json")
+                .text(body)
+                .send(),
             None => req.send(),
         };
         match sent.and_then(read) {
--- a/crates/cli/src/cmd/check.rs
+++ b/crates/cli/src/cmd/check.rs
@@ -25,7 +25,9 @@
 impl Check {
     /// Keeps the arguments.
     pub fn new(args: &ArgMatches) -> Self {
-        Self { path: get(args, "file").unwrap_or_default() }
+        Self {
+            path: get(args, "file").unwrap_or_default(),
+        }
     }
 }
 
--- a/crates/cli/src/cmd/completions.rs
+++ b/crates/cli/src/cmd/completions.rs
@@ -17,13 +17,17 @@
 impl Completions {
     /// Keeps the arguments.
     pub fn new(args: &ArgMatches) -> Self {
-        Self { shell: get(args, "shell") }
+        Self {
+            shell: get(args, "shell"),
+        }
     }
 }
 
 impl Run for Completions {
     fn run(&self) -> Result<(), Error> {
-        let Some(shell) = self.shell else { return Ok(()) };
+        let Some(shell) = self.shell else {
+            return Ok(());
+        };
         let mut buf = Vec::new();
         clap_complete::generate(shell, &mut app::build(), "redwingwick", &mut buf);
         io::stdout().write_all(&buf)?;
--- a/crates/cli/src/cmd/man.rs
+++ b/crates/cli/src/cmd/man.rs
@@ -16,7 +16,9 @@
 impl Man {
     /// Keeps the arguments.
     pub fn new(args: &ArgMatches) -> Self {
-        Self { folder: get(args, "folder").unwrap_or_default() }
+        Self {
+            folder: get(args, "folder").unwrap_or_default(),
+        }
     }
 }
 
--- a/crates/cli/src/cmd/preset.rs
+++ b/crates/cli/src/cmd/preset.rs
@@ -26,7 +26,9 @@
 
 impl Run for Preset<'_> {
     fn run(&self) -> Result<(), Error> {
-        let Some((verb, args)) = self.args.subcommand() else { return Ok(()) };
+        let Some((verb, args)) = self.args.subcommand() else {
+            return Ok(());
+        };
         let name = Name::from(get::<String>(args, "name").unwrap_or_default());
         let client = Client::new(args);
         let change = match verb {
@@ -45,10 +47,17 @@
 
 fn changed(mut preset: config::Preset, args: &ArgMatches) -> config::Preset {
     if let Some(classes) = args.get_many::<String>("accept") {
-        let class = |name: &String| if name == "long" { Class::Long } else { Class::Short };
+        let class = |name: &String| {
+            if name == "long" {
+                Class::Long
+            } else {
+                Class::Short
+            }
+        };
         preset.accept = classes.map(class).collect();
     }
-    preset.long_share_percent = get(args, "long-share-percent").unwrap_or(preset.long_share_percent);
+    preset.long_share_percent =
+        get(args, "long-share-percent").unwrap_or(preset.long_share_percent);
     preset.quota_percent = get(args, "quota-percent").unwrap_or(preset.quota_percent);
     if let Some(ms) = get::<u32>(args, "max-wait-ms") {
         preset.max_wait = Duration::from_millis(u64::from(ms));
--- a/crates/cli/src/cmd/service.rs
+++ b/crates/cli/src/cmd/service.rs
@@ -23,13 +23,17 @@
 
 impl Run for Service<'_> {
     fn run(&self) -> Result<(), Error> {
-        let Some((verb, args)) = self.args.subcommand() else { return Ok(()) };
+        let Some((verb, args)) = self.args.subcommand() else {
+            return Ok(());
+        };
         let name = Name::from(get::<String>(args, "name").unwrap_or_default());
-        let change = match verb {
-            "remove" => Change::RemoveService { name },
-            _ => {
-                let max_queued_tasks = get(args, "max-queued-tasks").unwrap_or(0);
-                Change::PutService { name, service: config::Service { max_queued_tasks } }
+        let change = if verb == "remove" {
+            Change::RemoveService { name }
+        } else {
+            let max_queued_tasks = get(args, "max-queued-tasks").unwrap_or(0);
+            Change::PutService {
+                name,
+                service: config::Service { max_queued_tasks },
             }
         };
         apply(&Client::new(args), change)
--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -43,8 +43,18 @@
 {
     let state = &status.state;
     let text = |key: &str| status.log[key].to_string().replace('"', "");
-    writeln!(out, "revision {}  preset {}", state.revision, state.in_force.value)?;
-    writeln!(out, "leader {}  term {}  commit {}", text("leader"), text("term"), text("commit"))?;
+    writeln!(
+        out,
+        "revision {}  preset {}",
+        state.revision, state.in_force.value
+    )?;
+    writeln!(
+        out,
+        "leader {}  term {}  commit {}",
+        text("leader"),
+        text("term"),
+        text("commit")
+    )?;
     for (name, service) in &state.services {
         writeln!(out, "service {name}  changed at {}", service.changed_at)?;
     }
@@ -57,7 +67,11 @@
         )?;
     }
     let settled = state.shards.iter().filter(|shard| shard.settled).count();
-    writeln!(out, "registry shards {} placed, {settled} settled", state.shards.len())
+    writeln!(
+        out,
+        "registry shards {} placed, {settled} settled",
+        state.shards.len()
+    )
 }
 
 fn write_members<W>(out: &mut W, status: &client::Status) -> io::Result<()>
@@ -73,7 +87,11 @@
             (MemberState::Alive, true) => "leaving",
             (MemberState::Alive, false) => "alive",
         };
-        let drained = if status.state.drained.contains_key(&m.node.name) { "  drained" } else { "" };
+        let drained = if status.state.drained.contains_key(&m.node.name) {
+            "  drained"
+        } else {
+            ""
+        };
         let role = format!("{:?}", m.role).to_lowercase();
         writeln!(
             out,
--- a/crates/cli/src/cmd/tenant.rs
+++ b/crates/cli/src/cmd/tenant.rs
@@ -23,11 +23,16 @@
 
 impl Run for Tenant<'_> {
     fn run(&self) -> Result<(), Error> {
-        let Some((verb, args)) = self.args.subcommand() else { return Ok(()) };
+        let Some((verb, args)) = self.args.subcommand() else {
+            return Ok(());
+        };
         let name = Name::from(get::<String>(args, "name").unwrap_or_default());
         let change = match verb {
             "remove" => Change::RemoveTenant { name },
-            _ => Change::PutTenant { name, tenant: tenant_of(args) },
+            _ => Change::PutTenant {
+                name,
+                tenant: tenant_of(args),
+            },
         };
         apply(&Client::new(args), change)
     }
--- a/crates/cli/src/cmd/worker.rs
+++ b/crates/cli/src/cmd/worker.rs
@@ -23,7 +23,9 @@
 
 impl Run for Worker<'_> {
     fn run(&self) -> Result<(), Error> {
-        let Some((verb, args)) = self.args.subcommand() else { return Ok(()) };
+        let Some((verb, args)) = self.args.subcommand() else {
+            return Ok(());
+        };
         let worker = Name::from(get::<String>(args, "name").unwrap_or_default());
         let client = Client::new(args);
         let change = match verb {
@@ -32,10 +34,13 @@
             _ => {
                 let members = client.status(false)?.members;
                 let known = members.iter().find(|m| m.node.name == worker);
-                let incarnation = known.map(|m| m.node.incarnation).ok_or_else(|| {
-                    Error::Invalid(format!("no worker {worker} is known"))
-                })?;
-                Change::Forget { worker, incarnation }
+                let incarnation = known
+                    .map(|m| m.node.incarnation)
+                    .ok_or_else(|| Error::Invalid(format!("no worker {worker} is known")))?;
+                Change::Forget {
+                    worker,
+                    incarnation,
+                }
             }
         };
         apply(&client, change)
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -18,7 +18,9 @@
 #[derive(Debug, Error)]
 pub enum Error {
     /// Another change was first.
-    #[error("conflict: based on revision {base}, but it was changed at revision {changed_at}; look again and retry")]
+    #[error(
+        "conflict: based on revision {base}, but it was changed at revision {changed_at}; look again and retry"
+    )]
     Conflict {
         /// What the change was based on.
         base: u64,
@@ -32,7 +34,9 @@
     #[error("no control node can take this now: {0}")]
     Unavailable(String),
     /// The change's fate is open.
-    #[error("not known whether the change was made ({reason}); repeat it with --request-id {request_id}")]
+    #[error(
+        "not known whether the change was made ({reason}); repeat it with --request-id {request_id}"
+    )]
     Undecided {
         /// What to resend.
         request_id: uuid::Uuid,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,7 +7,6 @@
 
 use std::process::ExitCode;
 
-
 fn main() -> ExitCode {
     let matches = app::build().get_matches();
     match cmd::of(&matches).run() {
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -102,7 +102,10 @@
     /// The state; with `confirmed`, only from the one leader.
     fn status(&self, req: &Request) -> Response {
         let (tx, rx) = flume::bounded(1);
-        let sent = self.tx.send_timeout(Event::State(tx), STATE_TIMEOUT).is_ok();
+        let sent = self
+            .tx
+            .send_timeout(Event::State(tx), STATE_TIMEOUT)
+            .is_ok();
         let reply = rx.recv_timeout(STATE_TIMEOUT);
         let (true, Ok(StateReply { log, state })) = (sent, reply) else {
             return http::problem("overloaded", 503, "the control node is busy", None);
@@ -111,9 +114,18 @@
             return not_leader(log.leader.as_ref());
         }
         let Some(state) = state else {
-            return http::problem("not-ready", 503, "no majority was reached since the start", None);
+            return http::problem(
+                "not-ready",
+                503,
+                "no majority was reached since the start",
+                None,
+            );
         };
-        http::json(&Status { log, state: &state, members: self.cluster.members() })
+        http::json(&Status {
+            log,
+            state: &state,
+            members: self.cluster.members(),
+        })
     }
 
     fn change(&self, req: &Request) -> Response {
@@ -125,7 +137,11 @@
             return http::problem("malformed", 400, "only the system places shards", None);
         }
         let (tx, rx) = flume::bounded(1);
-        if self.tx.send_timeout(Event::Change(change, tx), STATE_TIMEOUT).is_err() {
+        if self
+            .tx
+            .send_timeout(Event::Change(change, tx), STATE_TIMEOUT)
+            .is_err()
+        {
             return http::problem("overloaded", 503, "the control node is busy", None);
         }
         match rx.recv_timeout(CHANGE_TIMEOUT) {
--- a/crates/control/src/duty.rs
+++ b/crates/control/src/duty.rs
@@ -138,17 +138,20 @@
 fn check(loaded: &Loaded<Settings>) -> Result<(), SettingsError> {
     let control = &loaded.settings.control;
     if !control.peers.contains_key(&loaded.settings.node.name) {
-        return Err(loaded.field("control.peers", "must hold this node's own name"));
+        return Err(loaded.field("control.peers", &"must hold this node's own name"));
     }
     if !control.data.is_dir() {
         let reason = format!("no folder {}", control.data.display());
-        return Err(loaded.field("control.data", reason));
+        return Err(loaded.field("control.data", &reason));
     }
     Ok(())
 }
 
 fn new_voter(name: &Name) -> VoterId {
-    VoterId { name: name.clone(), disk: fastrand::u64(1..) }
+    VoterId {
+        name: name.clone(),
+        disk: fastrand::u64(1..),
+    }
 }
 
 /// Opens the journal. Without one, this node joins as a new voter that counts for nothing yet.
@@ -212,12 +215,17 @@
                 }
                 self.on_event(now, next, &mut fx);
                 handled += 1;
-                event = if handled < BATCH { rx.try_recv().ok() } else { None };
+                event = if handled < BATCH {
+                    rx.try_recv().ok()
+                } else {
+                    None
+                };
             }
             if now >= self.next_tick {
                 self.next_tick = now + TICK;
                 self.raft.tick(now, &mut fx);
-                self.waiting.retain(|_, replies| replies.iter().any(|reply| !reply.is_disconnected()));
+                self.waiting
+                    .retain(|_, replies| replies.iter().any(|reply| !reply.is_disconnected()));
                 self.place(now, &mut fx);
             }
             self.carry_out(fx)?;
@@ -244,7 +252,9 @@
     }
 
     fn on_msg(&mut self, now: Instant, id: u64, msg: Msg, fx: &mut Effects) {
-        let Some(link) = self.links.get(&id) else { return };
+        let Some(link) = self.links.get(&id) else {
+            return;
+        };
         match msg {
             Msg::Raft(msg) if link.peer.role == Role::Control => self.raft.on_msg(now, msg, fx),
             Msg::Ask(Ask::Sync { revision }) => self.cluster.answer(link, revision),
@@ -253,7 +263,13 @@
         }
     }
 
-    fn on_change(&mut self, now: Instant, req: ChangeRequest, reply: Sender<ChangeReply>, fx: &mut Effects) {
+    fn on_change(
+        &mut self,
+        now: Instant,
+        req: ChangeRequest,
+        reply: Sender<ChangeReply>,
+        fx: &mut Effects,
+    ) {
         if let Some(outcome) = self.raft.state().recent.get(&req.request_id)
             && self.raft.has_lease(now)
         {
@@ -281,7 +297,10 @@
             voters: self.raft.voters().to_vec(),
             has_lease: self.raft.has_lease(now),
         };
-        let state = self.raft.is_current().then(|| self.raft.state().cluster.clone());
+        let state = self
+            .raft
+            .is_current()
+            .then(|| self.raft.state().cluster.clone());
         StateReply { log, state }
     }
 
@@ -304,7 +323,11 @@
             log::info!(shards = shards.len(); "registry shards placed");
         }
         let request_id = uuid::Uuid::from_u128(fastrand::u128(..));
-        let req = ChangeRequest { request_id, base: cluster.revision, change };
+        let req = ChangeRequest {
+            request_id,
+            base: cluster.revision,
+            change,
+        };
         self.raft.propose(now, req, fx);
     }
 
@@ -330,8 +353,12 @@
         }
         self.ready.store(true, Ordering::Release);
         let state = self.raft.state().cluster.clone();
-        metrics::HELD.with_label_values(&["revision"]).set(state.revision as i64);
-        metrics::HELD.with_label_values(&["waiting_changes"]).set(self.waiting.len() as i64);
+        metrics::HELD
+            .with_label_values(&["revision"])
+            .set(state.revision as i64);
+        metrics::HELD
+            .with_label_values(&["waiting_changes"])
+            .set(self.waiting.len() as i64);
         if state.revision > 0 {
             self.cluster.set_state(state);
         }
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -16,6 +16,11 @@
         .action(ArgAction::SetTrue)
         .help("Make the journal of a new cluster and exit; the other nodes join by themselves");
     let about = "Holds the replicated log of the configuration";
-    let matches = program::command("rw-control", about).arg(init).get_matches();
-    program::exit("rw-control", duty::run(&program::args(&matches), matches.get_flag("init")))
+    let matches = program::command("rw-control", about)
+        .arg(init)
+        .get_matches();
+    program::exit(
+        "rw-control",
+        duty::run(&program::args(&matches), matches.get_flag("init")),
+    )
 }
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -82,12 +82,17 @@
         let lock = lock(folder)?;
         let path = folder.join(JOURNAL);
         let buf = fs::read(&path).map_err(io_error("read", &path))?;
-        let decoded = journal::decode(&buf)
-            .map_err(|source| StoreError::Journal { path: path.clone(), source })?;
+        let decoded = journal::decode(&buf).map_err(|source| StoreError::Journal {
+            path: path.clone(),
+            source,
+        })?;
         let store = Self::open_file(folder, lock)?;
         if decoded.valid_len < buf.len() {
             log::warn!(bytes = buf.len() - decoded.valid_len; "torn tail of the journal cut off");
-            let cut = store.file.set_len(decoded.valid_len as u64).and_then(|()| store.file.sync_all());
+            let cut = store
+                .file
+                .set_len(decoded.valid_len as u64)
+                .and_then(|()| store.file.sync_all());
             cut.map_err(io_error("cut", &path))?;
         }
         Ok((store, decoded.records))
@@ -95,27 +100,46 @@
 
     fn open_file(folder: &Path, lock: File) -> Result<Self, StoreError> {
         let path = folder.join(JOURNAL);
-        let file = OpenOptions::new().append(true).open(&path).map_err(io_error("open", &path))?;
-        Ok(Self { path, file, buf: Vec::new(), _lock: lock })
+        let file = OpenOptions::new()
+            .append(true)
+            .open(&path)
+            .map_err(io_error("open", &path))?;
+        Ok(Self {
+            path,
+            file,
+            buf: Vec::new(),
+            _lock: lock,
+        })
     }
 
     /// Appends records and syncs them.
     pub fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
         self.buf.clear();
         for record in records {
-            journal::encode(record, &mut self.buf)
-                .map_err(|source| StoreError::Journal { path: self.path.clone(), source })?;
+            journal::encode(record, &mut self.buf).map_err(|source| StoreError::Journal {
+                path: self.path.clone(),
+                source,
+            })?;
         }
-        let written = self.file.write_all(&self.buf).and_then(|()| self.file.sync_data());
+        let written = self
+            .file
+            .write_all(&self.buf)
+            .and_then(|()| self.file.sync_data());
         written.map_err(io_error("append to", &self.path))
     }
 
     /// Replaces the whole journal.
     pub fn rewrite(&mut self, records: &[Record]) -> Result<(), StoreError> {
-        let folder = self.path.parent().map(Path::to_path_buf).unwrap_or_default();
+        let folder = self
+            .path
+            .parent()
+            .map(Path::to_path_buf)
+            .unwrap_or_default();
         write_new(&folder, records)?;
-        self.file =
-            OpenOptions::new().append(true).open(&self.path).map_err(io_error("open", &self.path))?;
+        self.file = OpenOptions::new()
+            .append(true)
+            .open(&self.path)
+            .map_err(io_error("open", &self.path))?;
         Ok(())
     }
 }
@@ -134,11 +158,15 @@
     let path = folder.join(JOURNAL_NEW);
     let mut buf = MAGIC.to_vec();
     for record in records {
-        journal::encode(record, &mut buf)
-            .map_err(|source| StoreError::Journal { path: path.clone(), source })?;
+        journal::encode(record, &mut buf).map_err(|source| StoreError::Journal {
+            path: path.clone(),
+            source,
+        })?;
     }
     let mut file = File::create(&path).map_err(io_error("create", &path))?;
-    file.write_all(&buf).and_then(|()| file.sync_all()).map_err(io_error("write", &path))?;
+    file.write_all(&buf)
+        .and_then(|()| file.sync_all())
+        .map_err(io_error("write", &path))?;
     fs::rename(&path, folder.join(JOURNAL)).map_err(io_error("rename", &path))?;
     let dir = File::open(folder).map_err(io_error("open", folder))?;
     dir.sync_all().map_err(io_error("sync", folder))
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -54,7 +54,11 @@
 impl Backend {
     /// Slots that it offers now.
     fn slots(&self) -> u32 {
-        if self.announced.leaving { 0 } else { self.announced.slots.min(self.announced.connections) }
+        if self.announced.leaving {
+            0
+        } else {
+            self.announced.slots.min(self.announced.connections)
+        }
     }
 
     fn can_run(&self, service: &Name) -> bool {
@@ -163,7 +167,8 @@
     /// Acts on the passing of time.
     pub fn tick(&mut self, now: Instant, wall: WallMs, out: &mut Vec<Action>) {
         let before = self.backends.len();
-        self.backends.retain(|_, backend| backend.lease_until > now || backend.busy > 0);
+        self.backends
+            .retain(|_, backend| backend.lease_until > now || backend.busy > 0);
         for backend in self.backends.values_mut().filter(|b| b.lease_until <= now) {
             backend.announced.leaving = true;
         }
@@ -183,7 +188,14 @@
         let lease_until = now + ANNOUNCE_LEASE;
         let name = announced.name.clone();
         let busy = self.backends.get(&name).map_or(0, |backend| backend.busy);
-        self.backends.insert(name, Backend { announced, lease_until, busy });
+        self.backends.insert(
+            name,
+            Backend {
+                announced,
+                lease_until,
+                busy,
+            },
+        );
         if self.offer_changed() {
             self.void_credits(out);
         }
@@ -191,7 +203,9 @@
 
     /// A backend server leaves: it gets nothing new.
     pub fn withdraw(&mut self, name: &Name, out: &mut Vec<Action>) -> bool {
-        let Some(backend) = self.backends.get_mut(name) else { return false };
+        let Some(backend) = self.backends.get_mut(name) else {
+            return false;
+        };
         backend.announced.leaving = true;
         self.void_credits(out);
         true
@@ -296,11 +310,18 @@
             ToAgent::Collect { key, attempt } => {
                 let known = self.fence.collect(entry, key, attempt);
                 let Some(known) = known else { return };
-                out.push(Action::Send(entry.clone(), self.collected(key, attempt, known)));
+                out.push(Action::Send(
+                    entry.clone(),
+                    self.collected(key, attempt, known),
+                ));
             }
             ToAgent::Claim(claim) => {
                 let reply = self.registry.claim(&self.cluster, &claim);
-                let msg = ToEntry::Claimed { key: claim.key, attempt: claim.attempt, reply };
+                let msg = ToEntry::Claimed {
+                    key: claim.key,
+                    attempt: claim.attempt,
+                    reply,
+                };
                 out.push(Action::Send(entry.clone(), msg));
                 return;
             }
@@ -363,7 +384,10 @@
                 }
             }
             Err(Verdict::Refuse(reason)) => {
-                out.push(Action::Send(entry.clone(), ToEntry::Refused { task, reason }));
+                out.push(Action::Send(
+                    entry.clone(),
+                    ToEntry::Refused { task, reason },
+                ));
             }
             Err(_) => self.dropped += 1,
         }
@@ -379,7 +403,10 @@
 
     /// The backend server to run on, or why the task does not start now.
     fn decide(&self, wall: WallMs, had_credit: bool, start: &Start) -> Result<Name, Verdict> {
-        match self.fence.check(start, wall, self.cluster.preset().dedupe_window) {
+        match self
+            .fence
+            .check(start, wall, self.cluster.preset().dedupe_window)
+        {
             Verdict::Start => {}
             other => return Err(other),
         }
@@ -397,7 +424,14 @@
             .ok_or(Verdict::Refuse(RefusalReason::NoBackend))
     }
 
-    fn run(&mut self, entry: &Name, name: Name, task: TaskRef, digest: Digest, start: Start) -> Run {
+    fn run(
+        &mut self,
+        entry: &Name,
+        name: Name,
+        task: TaskRef,
+        digest: Digest,
+        start: Start,
+    ) -> Run {
         let backend = &mut self.backends[&name];
         backend.busy += 1;
         Run {
@@ -430,7 +464,14 @@
                     && self.grants.renew(&run.entry);
                 let run_us = run_time.as_micros().min(u128::from(u32::MAX)) as u32;
                 let (task, digest, epoch) = (run.task, run.digest, self.epoch);
-                let msg = ToEntry::Done { task, digest, run_us, result, credit, epoch };
+                let msg = ToEntry::Done {
+                    task,
+                    digest,
+                    run_us,
+                    result,
+                    credit,
+                    epoch,
+                };
                 self.send_linked(owner, msg, out);
             }
             RunEnd::NotStarted => {
@@ -454,7 +495,9 @@
 
     fn tell(&self, task: TaskRef, known: TaskMemory) -> ToEntry {
         match known {
-            TaskMemory::Running(started, _) => ToEntry::Running { task: TaskRef { ..started } },
+            TaskMemory::Running(started, _) => ToEntry::Running {
+                task: TaskRef { ..started },
+            },
             TaskMemory::Done(started, digest, result) => ToEntry::Done {
                 task: started,
                 digest,
@@ -463,11 +506,19 @@
                 credit: false,
                 epoch: self.epoch,
             },
-            TaskMemory::Barred(_) => ToEntry::Refused { task, reason: RefusalReason::NeverArrived },
+            TaskMemory::Barred(_) => ToEntry::Refused {
+                task,
+                reason: RefusalReason::NeverArrived,
+            },
         }
     }
 
-    fn collected(&self, key: crate::ids::JobKey, attempt: u32, known: Vec<(u16, TaskMemory)>) -> ToEntry {
+    fn collected(
+        &self,
+        key: crate::ids::JobKey,
+        attempt: u32,
+        known: Vec<(u16, TaskMemory)>,
+    ) -> ToEntry {
         let mut running = Vec::new();
         let mut done = Vec::new();
         for (index, memory) in known {
@@ -478,7 +529,13 @@
             }
         }
         let knows_since = WallMs(self.me.incarnation);
-        ToEntry::Collected { key, attempt, knows_since, running, done }
+        ToEntry::Collected {
+            key,
+            attempt,
+            knows_since,
+            running,
+            done,
+        }
     }
 
     fn offer_changed(&self) -> bool {
@@ -503,9 +560,13 @@
         }
         for step in self.grants.moves() {
             out.push(match step {
-                Move::Grant(entry, credits) => {
-                    Action::Send(entry, ToEntry::Grant { credits, epoch: self.epoch })
-                }
+                Move::Grant(entry, credits) => Action::Send(
+                    entry,
+                    ToEntry::Grant {
+                        credits,
+                        epoch: self.epoch,
+                    },
+                ),
                 Move::Recall(entry, credits) => Action::Send(entry, ToEntry::Recall { credits }),
             });
         }
--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -123,12 +123,22 @@
 impl Failure {
     /// A failure of which it is proved that nothing started.
     pub fn not_run(kind: FailureKind, detail: impl Into<String>) -> Self {
-        Self { kind, ran: Ran::NotRun, detail: detail.into(), retry_after_s: None }
+        Self {
+            kind,
+            ran: Ran::NotRun,
+            detail: detail.into(),
+            retry_after_s: None,
+        }
     }
 
     /// A failure after which tasks may have started.
     pub fn unknown(kind: FailureKind, detail: impl Into<String>) -> Self {
-        Self { kind, ran: Ran::Unknown, detail: detail.into(), retry_after_s: None }
+        Self {
+            kind,
+            ran: Ran::Unknown,
+            detail: detail.into(),
+            retry_after_s: None,
+        }
     }
 
     /// The same with a hint when to try again.
--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -63,14 +63,24 @@
     where
         F: Fn(&NodeRef) -> bool,
     {
-        if self.asked_at.is_some_and(|at| now.duration_since(at) < CLAIM_RETRY) {
+        if self
+            .asked_at
+            .is_some_and(|at| now.duration_since(at) < CLAIM_RETRY)
+        {
             return Vec::new();
         }
         let first = self.asked_at.is_none();
         self.asked_at = Some(now);
-        let open = self.replicas.iter().filter(|node| !self.granted.contains(*node));
+        let open = self
+            .replicas
+            .iter()
+            .filter(|node| !self.granted.contains(*node));
         let linked = open.filter(|node| is_linked(node)).cloned();
-        if first { linked.take(self.majority()).collect() } else { linked.collect() }
+        if first {
+            linked.take(self.majority()).collect()
+        } else {
+            linked.collect()
+        }
     }
 
     /// Takes in a replica's reply.
@@ -82,8 +92,16 @@
             ClaimReply::Granted => {
                 self.granted.insert(from.clone());
             }
-            ClaimReply::Held { owner, attempt, digest } => {
-                if self.held.as_ref().is_none_or(|(_, highest, _)| attempt > *highest) {
+            ClaimReply::Held {
+                owner,
+                attempt,
+                digest,
+            } => {
+                if self
+                    .held
+                    .as_ref()
+                    .is_none_or(|(_, highest, _)| attempt > *highest)
+                {
                     self.held = Some((owner, attempt, digest));
                 }
             }
@@ -101,6 +119,10 @@
         if let Some((owner, attempt, digest)) = &self.held {
             return ClaimState::Held(owner.clone(), *attempt, *digest);
         }
-        if self.forgotten > 0 { ClaimState::Forgotten } else { ClaimState::Waiting }
+        if self.forgotten > 0 {
+            ClaimState::Forgotten
+        } else {
+            ClaimState::Waiting
+        }
     }
 }
--- a/crates/core/src/codec.rs
+++ b/crates/core/src/codec.rs
@@ -47,7 +47,10 @@
 impl ClusterKey {
     /// Derives the key from the secret in the settings.
     pub fn new(secret: &str) -> Self {
-        Self(blake3::derive_key("redwingwick 2026 cluster key", secret.as_bytes()))
+        Self(blake3::derive_key(
+            "redwingwick 2026 cluster key",
+            secret.as_bytes(),
+        ))
     }
 
     fn session(&self, client: &[u8], server: &[u8]) -> [u8; 32] {
@@ -61,7 +64,18 @@
     pub fn directions(&self, client: &[u8], server: &[u8], is_client: bool) -> (Sealer, Opener) {
         let key = self.session(client, server);
         let (out, into) = if is_client { (0, 1) } else { (1, 0) };
-        (Sealer(Direction { key, side: out, next: 0 }), Opener(Direction { key, side: into, next: 0 }))
+        (
+            Sealer(Direction {
+                key,
+                side: out,
+                next: 0,
+            }),
+            Opener(Direction {
+                key,
+                side: into,
+                next: 0,
+            }),
+        )
     }
 
     /// Encodes a datagram: tag, then payload.
@@ -81,7 +95,9 @@
     where
         T: DeserializeOwned,
     {
-        let (tag, payload) = buf.split_at_checked(TAG_BYTES).ok_or(CodecError::TooShort)?;
+        let (tag, payload) = buf
+            .split_at_checked(TAG_BYTES)
+            .ok_or(CodecError::TooShort)?;
         if !same(tag, &blake3::keyed_hash(&self.0, payload)) {
             return Err(CodecError::BadTag);
         }
@@ -149,8 +165,16 @@
 impl Opener {
     /// Checks a frame's announced length before anything is allocated for it.
     pub fn check_len(&self, len: usize) -> Result<(), CodecError> {
-        let max = if self.0.next == 0 { MAX_FIRST_FRAME_BYTES } else { MAX_FRAME_BYTES };
-        if len > max { Err(CodecError::TooLong(len)) } else { Ok(()) }
+        let max = if self.0.next == 0 {
+            MAX_FIRST_FRAME_BYTES
+        } else {
+            MAX_FRAME_BYTES
+        };
+        if len > max {
+            Err(CodecError::TooLong(len))
+        } else {
+            Ok(())
+        }
     }
 
     /// Decodes a payload after its tag was checked.
@@ -168,5 +192,10 @@
 /// Compares a tag in constant time.
 fn same(tag: &[u8], hash: &blake3::Hash) -> bool {
     let expected = &hash.as_bytes()[..TAG_BYTES];
-    tag.len() == TAG_BYTES && tag.iter().zip(expected).fold(0, |acc, (a, b)| acc | (a ^ b)) == 0
+    tag.len() == TAG_BYTES
+        && tag
+            .iter()
+            .zip(expected)
+            .fold(0, |acc, (a, b)| acc | (a ^ b))
+            == 0
 }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -133,14 +133,23 @@
 impl Default for ClusterState {
     fn default() -> Self {
         let first = |name: &&str| {
-            (Name::from(*name), Versioned { changed_at: 0, value: Preset::first(name) })
+            (
+                Name::from(*name),
+                Versioned {
+                    changed_at: 0,
+                    value: Preset::first(name),
+                },
+            )
         };
         Self {
             revision: 0,
             services: IndexMap::new(),
             tenants: IndexMap::new(),
             presets: FIRST_PRESETS.iter().map(first).collect(),
-            in_force: Versioned { changed_at: 0, value: FIRST_PRESETS[0].into() },
+            in_force: Versioned {
+                changed_at: 0,
+                value: FIRST_PRESETS[0].into(),
+            },
             drained: IndexMap::new(),
             forgotten: IndexMap::new(),
             shards: Vec::new(),
@@ -275,15 +284,18 @@
         }
         self.revision += 1;
         self.put(change);
-        ChangeOutcome::Applied { revision: self.revision }
+        ChangeOutcome::Applied {
+            revision: self.revision,
+        }
     }
 
     /// The revision at which the change's object was last changed; 0 if it does not exist.
     fn changed_at(&self, change: &Change) -> u64 {
         match change {
-            Change::PutService { name, .. } | Change::RemoveService { name } => {
-                self.services.get(name).map_or(0, |object| object.changed_at)
-            }
+            Change::PutService { name, .. } | Change::RemoveService { name } => self
+                .services
+                .get(name)
+                .map_or(0, |object| object.changed_at),
             Change::PutTenant { name, .. } | Change::RemoveTenant { name } => {
                 self.tenants.get(name).map_or(0, |object| object.changed_at)
             }
@@ -303,7 +315,11 @@
             Change::PutService { name, .. } => check_name(name),
             Change::PutTenant { name, tenant } => {
                 check_name(name)?;
-                if tenant.weight == 0 { Err("weight must be at least 1".into()) } else { Ok(()) }
+                if tenant.weight == 0 {
+                    Err("weight must be at least 1".into())
+                } else {
+                    Ok(())
+                }
             }
             Change::PutPreset { name, preset } => {
                 check_name(name)?;
@@ -311,14 +327,14 @@
             }
             Change::RemoveService { name } => exists(&self.services, name, "service"),
             Change::RemoveTenant { name } => exists(&self.tenants, name, "tenant"),
-            Change::Activate { name } => exists(&self.presets, name, "preset"),
             Change::RemovePreset { name } if *name == self.in_force.value => {
                 Err(format!("preset {name} is in force"))
             }
-            Change::RemovePreset { name } => exists(&self.presets, name, "preset"),
-            Change::Drain { worker } => check_name(worker),
+            Change::Activate { name } | Change::RemovePreset { name } => {
+                exists(&self.presets, name, "preset")
+            }
+            Change::Drain { worker } | Change::Forget { worker, .. } => check_name(worker),
             Change::Undrain { worker } => exists(&self.drained, worker, "drained worker"),
-            Change::Forget { worker, .. } => check_name(worker),
             Change::Place { shards } => self.check_placement(shards),
         }
     }
@@ -326,7 +342,10 @@
     /// A placement must build on the versions that are in force.
     fn check_placement(&self, shards: &[(u32, Shard)]) -> Result<(), String> {
         for (index, shard) in shards {
-            let present = self.shards.get(*index as usize).map_or(0, |present| present.version);
+            let present = self
+                .shards
+                .get(*index as usize)
+                .map_or(0, |present| present.version);
             let settles = shard.settled && shard.version == present;
             if shard.version != present + 1 && !settles {
                 return Err(format!("shard {index} is at version {present}"));
@@ -339,31 +358,57 @@
         let changed_at = self.revision;
         match change {
             Change::PutService { name, service } => {
-                self.services.insert(name, Versioned { changed_at, value: service });
+                self.services.insert(
+                    name,
+                    Versioned {
+                        changed_at,
+                        value: service,
+                    },
+                );
             }
             Change::RemoveService { name } => {
                 self.services.shift_remove(&name);
             }
             Change::PutTenant { name, tenant } => {
-                self.tenants.insert(name, Versioned { changed_at, value: tenant });
+                self.tenants.insert(
+                    name,
+                    Versioned {
+                        changed_at,
+                        value: tenant,
+                    },
+                );
             }
             Change::RemoveTenant { name } => {
                 self.tenants.shift_remove(&name);
             }
             Change::PutPreset { name, preset } => {
-                self.presets.insert(name, Versioned { changed_at, value: preset });
+                self.presets.insert(
+                    name,
+                    Versioned {
+                        changed_at,
+                        value: preset,
+                    },
+                );
             }
             Change::RemovePreset { name } => {
                 self.presets.shift_remove(&name);
             }
-            Change::Activate { name } => self.in_force = Versioned { changed_at, value: name },
+            Change::Activate { name } => {
+                self.in_force = Versioned {
+                    changed_at,
+                    value: name,
+                }
+            }
             Change::Drain { worker } => {
                 self.drained.insert(worker, changed_at);
             }
             Change::Undrain { worker } => {
                 self.drained.shift_remove(&worker);
             }
-            Change::Forget { worker, incarnation } => {
+            Change::Forget {
+                worker,
+                incarnation,
+            } => {
                 self.forgotten.insert(worker, incarnation);
             }
             Change::Place { shards } => self.place(shards),
@@ -382,13 +427,19 @@
 }
 
 fn exists<V>(map: &IndexMap<Name, V>, name: &Name, what: &str) -> Result<(), String> {
-    if map.contains_key(name) { Ok(()) } else { Err(format!("no {what} is named {name}")) }
+    if map.contains_key(name) {
+        Ok(())
+    } else {
+        Err(format!("no {what} is named {name}"))
+    }
 }
 
 fn check_name(name: &str) -> Result<(), String> {
     let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
     if name.is_empty() || name.len() > MAX_NAME_BYTES || !name.chars().all(allowed) {
-        return Err(format!("name {name:?} must be 1 to {MAX_NAME_BYTES} of a-z, 0-9, '-', '_', '.'"));
+        return Err(format!(
+            "name {name:?} must be 1 to {MAX_NAME_BYTES} of a-z, 0-9, '-', '_', '.'"
+        ));
     }
     Ok(())
 }
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -164,7 +164,11 @@
     /// The key is being claimed.
     Claiming(ClaimRound),
     /// Another entry has the job; its answer is awaited.
-    Attached { owner: NodeRef, attempt: u32, asked: Option<Instant> },
+    Attached {
+        owner: NodeRef,
+        attempt: u32,
+        asked: Option<Instant>,
+    },
     /// An earlier attempt's results are being collected.
     Collecting(Collection),
     /// Tasks wait, run or are done.
@@ -320,12 +324,18 @@
 
     /// Waiting tasks by service.
     pub fn waiting(&self) -> impl Iterator<Item = (&Name, u32)> {
-        self.queues.iter().map(|(service, queue)| (service, queue.total()))
+        self.queues
+            .iter()
+            .map(|(service, queue)| (service, queue.total()))
     }
 
     /// Follows a new configuration; an older one is ignored.
     pub fn on_config(&mut self, cluster: Arc<ClusterState>) {
-        if self.cluster.as_ref().is_none_or(|present| cluster.revision > present.revision) {
+        if self
+            .cluster
+            .as_ref()
+            .is_none_or(|present| cluster.revision > present.revision)
+        {
             self.cluster = Some(cluster);
         }
     }
@@ -346,12 +356,24 @@
             Some(Err(_)) => ("failed", 0),
             None => ("ended", 0),
         };
-        Some((None, JobStatus { state, tasks, done: tasks, queued: 0 }))
+        Some((
+            None,
+            JobStatus {
+                state,
+                tasks,
+                done: tasks,
+                queued: 0,
+            },
+        ))
     }
 
     /// Cancels a job. Waiting tasks leave without a slot; what runs is left to end, unanswered.
     pub fn cancel(&mut self, now: Now, key: JobKey, tenant: &Name, out: &mut Vec<Action>) -> bool {
-        if self.jobs.get(&key).is_none_or(|job| job.spec.tenant != *tenant) {
+        if self
+            .jobs
+            .get(&key)
+            .is_none_or(|job| job.spec.tenant != *tenant)
+        {
             return false;
         }
         let failure = Failure::unknown(FailureKind::Cancelled, "cancelled by the caller");
@@ -383,17 +405,25 @@
         }
         let tenants = self.quotas.exchange();
         for entry in self.other_entries() {
-            out.push(Action::Peer(entry, Peer::Demand { tenants: tenants.clone() }));
+            out.push(Action::Peer(
+                entry,
+                Peer::Demand {
+                    tenants: tenants.clone(),
+                },
+            ));
         }
     }
 
     fn other_entries(&self) -> Vec<Name> {
         use crate::members::MemberState::Dead;
         use crate::msg::Role;
-        let other = |m: &&Member| {
-            m.role == Role::Entry && m.state != Dead && m.node.name != self.me.name
-        };
-        self.members.iter().filter(other).map(|m| m.node.name.clone()).collect()
+        let other =
+            |m: &&Member| m.role == Role::Entry && m.state != Dead && m.node.name != self.me.name;
+        self.members
+            .iter()
+            .filter(other)
+            .map(|m| m.node.name.clone())
+            .collect()
     }
 
     /// Fails jobs whose deadline passed.
@@ -402,8 +432,12 @@
             return;
         }
         let overdue = |job: &Job| now.mono >= job.deadline;
-        let keys: Vec<JobKey> =
-            self.jobs.iter().filter(|(_, job)| overdue(job)).map(|(key, _)| *key).collect();
+        let keys: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| overdue(job))
+            .map(|(key, _)| *key)
+            .collect();
         for key in keys {
             let failure = Failure::unknown(FailureKind::DeadlinePassed, "the deadline passed");
             self.fail(now, key, failure, out);
@@ -436,6 +470,11 @@
             Phase::Collecting(_) => "collecting",
             Phase::Running => "running",
         };
-        JobStatus { state, tasks: self.tasks.len(), done: self.done, queued: self.queued.len() }
+        JobStatus {
+            state,
+            tasks: self.tasks.len(),
+            done: self.done,
+            queued: self.queued.len(),
+        }
     }
 }
--- a/crates/core/src/dispatcher/admit.rs
+++ b/crates/core/src/dispatcher/admit.rs
@@ -12,7 +12,10 @@
 use crate::placement::{CLOCK_TOLERANCE, shard_of};
 use crate::queue::{Rank, ServiceQueue};
 
-use super::{Action, Dispatcher, Job, MAX_ENDED, MAX_JOBS, MAX_QUEUED_TASKS, Mode, Now, Phase, TaskState, Waiter};
+use super::{
+    Action, Dispatcher, Job, MAX_ENDED, MAX_JOBS, MAX_QUEUED_TASKS, Mode, Now, Phase, TaskState,
+    Waiter,
+};
 
 impl Dispatcher {
     /// Takes a job from a caller. The caller is answered once by an [`Action::Answer`].
@@ -58,9 +61,20 @@
     }
 
     /// Attaches to a job that is known here under the same key, or gives its answer again.
-    fn attach_known(&mut self, now: Now, spec: &JobSpec, caller: u64, out: &mut Vec<Action>) -> bool {
+    fn attach_known(
+        &mut self,
+        now: Now,
+        spec: &JobSpec,
+        caller: u64,
+        out: &mut Vec<Action>,
+    ) -> bool {
         let digest = spec.digest();
-        let conflict = || Failure::not_run(FailureKind::KeyConflict, "the key was used for another request");
+        let conflict = || {
+            Failure::not_run(
+                FailureKind::KeyConflict,
+                "the key was used for another request",
+            )
+        };
         if let Some(job) = self.jobs.get_mut(&spec.key) {
             if job.digest == digest {
                 job.deadline = job.deadline.max(now.mono + spec.deadline);
@@ -70,8 +84,14 @@
             }
             return true;
         }
-        let Some(ended) = self.ended.get(&spec.key) else { return false };
-        let answer = if ended.digest == digest { ended.answer.clone() } else { Some(Err(conflict())) };
+        let Some(ended) = self.ended.get(&spec.key) else {
+            return false;
+        };
+        let answer = if ended.digest == digest {
+            ended.answer.clone()
+        } else {
+            Some(Err(conflict()))
+        };
         let Some(answer) = answer else { return false };
         out.push(Action::Answer(caller, answer));
         true
@@ -83,20 +103,30 @@
         if spec.tasks.is_empty() || spec.tasks.len() > MAX_TASKS {
             return refuse(FailureKind::Malformed, "a job has 1 to 410 tasks");
         }
-        if spec.tasks.iter().any(|task| task.payload.len() > MAX_PAYLOAD_BYTES) {
+        if spec
+            .tasks
+            .iter()
+            .any(|task| task.payload.len() > MAX_PAYLOAD_BYTES)
+        {
             return refuse(FailureKind::TooLarge, "a payload has at most 65536 bytes");
         }
         let Some(cluster) = &self.cluster else {
-            return Err(unproved(spec, FailureKind::NotReady, "no configuration yet").retry_after(1));
+            return Err(
+                unproved(spec, FailureKind::NotReady, "no configuration yet").retry_after(1),
+            );
         };
         if !cluster.tenants.contains_key(&spec.tenant) {
             return Err(unproved(spec, FailureKind::UnknownTenant, "no such tenant"));
         }
         if self.draining {
-            return Err(unproved(spec, FailureKind::Draining, "this entry is draining").retry_after(1));
+            return Err(
+                unproved(spec, FailureKind::Draining, "this entry is draining").retry_after(1),
+            );
         }
         if self.jobs.len() >= MAX_JOBS || self.ended.len() >= MAX_ENDED {
-            return Err(unproved(spec, FailureKind::Overloaded, "too many open jobs").retry_after(1));
+            return Err(
+                unproved(spec, FailureKind::Overloaded, "too many open jobs").retry_after(1),
+            );
         }
         let window = cluster.preset().dedupe_window;
         let created = spec.key.created();
@@ -110,10 +140,15 @@
     /// Starts a round of claims for the job's key at its present attempt.
     pub(super) fn begin_claim(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
         let next_link = self.fleet.next_link();
-        let Some(cluster) = self.cluster.clone() else { return };
-        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Some(cluster) = self.cluster.clone() else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
         let Some((_, shard)) = shard_of(&cluster, key) else {
-            let failure = Failure::unknown(FailureKind::NotReady, "the job registry is not placed yet");
+            let failure =
+                Failure::unknown(FailureKind::NotReady, "the job registry is not placed yet");
             self.fail(now, key, failure.retry_after(1), out);
             return;
         };
@@ -137,34 +172,54 @@
 
     fn check_admission(&mut self, now: Now, key: JobKey) -> Result<(), Failure> {
         let (Some(cluster), Some(job)) = (self.cluster.clone(), self.jobs.get(&key)) else {
-            return Err(Failure::not_run(FailureKind::NotReady, "no configuration yet"));
+            return Err(Failure::not_run(
+                FailureKind::NotReady,
+                "no configuration yet",
+            ));
         };
         let spec = &job.spec;
         let refuse = |kind, detail: String| Err(Failure::not_run(kind, detail));
         let Some(service) = cluster.services.get(&spec.service) else {
-            return refuse(FailureKind::UnknownService, format!("no service is named {}", spec.service));
+            return refuse(
+                FailureKind::UnknownService,
+                format!("no service is named {}", spec.service),
+            );
         };
         if !cluster.preset().accept.contains(&spec.class) {
             let preset = &cluster.in_force.value;
-            return refuse(FailureKind::NotAccepted, format!("preset {preset} takes no {} work", spec.class.as_str()));
+            return refuse(
+                FailureKind::NotAccepted,
+                format!("preset {preset} takes no {} work", spec.class.as_str()),
+            );
         }
         if self.fleet.fits(&spec.service, spec.needs) == Some(false) {
             return refuse(FailureKind::NeverFits, "no worker is large enough".into());
         }
         let tasks = spec.tasks.len() as u32;
-        let most = if service.value.max_queued_tasks == 0 { MAX_QUEUED_TASKS } else { service.value.max_queued_tasks };
-        let waiting = self.queues.get(&spec.service).map_or(0, ServiceQueue::total);
+        let most = if service.value.max_queued_tasks == 0 {
+            MAX_QUEUED_TASKS
+        } else {
+            service.value.max_queued_tasks
+        };
+        let waiting = self
+            .queues
+            .get(&spec.service)
+            .map_or(0, ServiceQueue::total);
         if waiting + tasks > most {
-            return Err(Failure::not_run(FailureKind::Overloaded, "the queue is full").retry_after(1));
+            return Err(
+                Failure::not_run(FailureKind::Overloaded, "the queue is full").retry_after(1),
+            );
         }
         if self.policy.refuse_early {
             self.check_wait(spec, cluster.preset().max_wait)?;
         }
         let tenant = spec.tenant.clone();
-        self.quotas.admit(now.mono, &cluster, &tenant, tasks).map_err(|limit| {
-            let detail = format!("the tenant's {limit} is used up");
-            Failure::not_run(FailureKind::OverQuota, detail).retry_after(1)
-        })?;
+        self.quotas
+            .admit(now.mono, &cluster, &tenant, tasks)
+            .map_err(|limit| {
+                let detail = format!("the tenant's {limit} is used up");
+                Failure::not_run(FailureKind::OverQuota, detail).retry_after(1)
+            })?;
         if let Some(job) = self.jobs.get_mut(&key) {
             job.admitted = true;
         }
@@ -184,14 +239,20 @@
         if wait <= max_wait && wait + own <= spec.deadline {
             return Ok(());
         }
-        let detail = format!("expected wait {} ms, run {} ms", wait.as_millis(), own.as_millis());
+        let detail = format!(
+            "expected wait {} ms, run {} ms",
+            wait.as_millis(),
+            own.as_millis()
+        );
         let seconds = (wait.as_secs() as u32).clamp(1, 30);
         Err(Failure::not_run(FailureKind::Overloaded, detail).retry_after(seconds))
     }
 
     /// Time until a task that is queued now starts, with the slots in hand.
     fn expected_wait(&self, service: &Name, class: Class) -> Duration {
-        let Some(queue) = self.queues.get(service) else { return Duration::ZERO };
+        let Some(queue) = self.queues.get(service) else {
+            return Duration::ZERO;
+        };
         let slots = self.fleet.in_hand(service);
         if slots == 0 {
             return Duration::ZERO;
@@ -215,7 +276,9 @@
     pub(super) fn enqueue(&mut self, key: JobKey) {
         let rank = self.rank(key);
         let fair = self.policy.fair_tenants;
-        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
         if job.queued.is_empty() {
             return;
         }
@@ -224,19 +287,35 @@
             .queues
             .entry(job.spec.service.clone())
             .or_insert_with(|| ServiceQueue::new(fair));
-        queue.insert(job.spec.class, &job.spec.tenant, rank, key, job.queued.len() as u32);
+        queue.insert(
+            job.spec.class,
+            &job.spec.tenant,
+            rank,
+            key,
+            job.queued.len() as u32,
+        );
     }
 
     /// Takes a job out of its queue.
     pub(super) fn dequeue(&mut self, key: JobKey) {
-        let Some(job) = self.jobs.get(&key) else { return };
+        let Some(job) = self.jobs.get(&key) else {
+            return;
+        };
         if let Some(queue) = self.queues.get_mut(&job.spec.service) {
-            queue.remove(job.spec.class, &job.spec.tenant, job.rank, key, job.queued.len() as u32);
+            queue.remove(
+                job.spec.class,
+                &job.spec.tenant,
+                job.rank,
+                key,
+                job.queued.len() as u32,
+            );
         }
     }
 
     fn rank(&self, key: JobKey) -> Rank {
-        let Some(job) = self.jobs.get(&key) else { return Rank(0) };
+        let Some(job) = self.jobs.get(&key) else {
+            return Rank(0);
+        };
         let arrived = job.arrived.duration_since(self.begun);
         if !self.policy.job_order {
             return Rank::new(arrived, Duration::ZERO, 1);
@@ -249,5 +328,9 @@
 
 /// A refusal before the claim: only for a job without a caller's key it is proved not run.
 fn unproved(spec: &JobSpec, kind: FailureKind, detail: &str) -> Failure {
-    if spec.keyed { Failure::unknown(kind, detail) } else { Failure::not_run(kind, detail) }
+    if spec.keyed {
+        Failure::unknown(kind, detail)
+    } else {
+        Failure::not_run(kind, detail)
+    }
 }
--- a/crates/core/src/dispatcher/claims.rs
+++ b/crates/core/src/dispatcher/claims.rs
@@ -17,11 +17,18 @@
 impl Dispatcher {
     /// Sends the claims of a round that are due.
     pub(super) fn ask_replicas(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get_mut(&key) else { return };
-        let Phase::Claiming(round) = &mut job.phase else { return };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let Phase::Claiming(round) = &mut job.phase else {
+            return;
+        };
         let fleet = &self.fleet;
         let linked = |node: &NodeRef| {
-            fleet.workers().get(&node.name).is_some_and(|worker| worker.up && worker.node == *node)
+            fleet
+                .workers()
+                .get(&node.name)
+                .is_some_and(|worker| worker.up && worker.node == *node)
         };
         for replica in round.to_ask(now.mono, linked) {
             let claim = Claim {
@@ -38,7 +45,9 @@
 
     /// Asks again where answers are missing, or anew when the shard moved.
     pub(super) fn tick_claims(&mut self, now: Now, out: &mut Vec<Action>) {
-        let Some(cluster) = self.cluster.clone() else { return };
+        let Some(cluster) = self.cluster.clone() else {
+            return;
+        };
         let mut moved = Vec::new();
         let mut open = Vec::new();
         let mut attached = Vec::new();
@@ -46,7 +55,11 @@
             match &job.phase {
                 Phase::Claiming(round) => {
                     let version = shard_of(&cluster, *key).map(|(_, shard)| shard.version);
-                    let list = if version == Some(round.version) { &mut open } else { &mut moved };
+                    let list = if version == Some(round.version) {
+                        &mut open
+                    } else {
+                        &mut moved
+                    };
                     list.push(*key);
                 }
                 Phase::Attached { .. } => attached.push(*key),
@@ -74,9 +87,20 @@
         reply: ClaimReply,
         out: &mut Vec<Action>,
     ) {
-        let Some(node) = self.fleet.workers().get(from).map(|worker| worker.node.clone()) else { return };
-        let Some(job) = self.jobs.get_mut(&key) else { return };
-        let Phase::Claiming(round) = &mut job.phase else { return };
+        let Some(node) = self
+            .fleet
+            .workers()
+            .get(from)
+            .map(|worker| worker.node.clone())
+        else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let Phase::Claiming(round) = &mut job.phase else {
+            return;
+        };
         if round.attempt != attempt {
             return;
         }
@@ -84,10 +108,17 @@
             ClaimState::Waiting => {}
             ClaimState::Won if attempt == 1 => self.admit(now, key, out),
             ClaimState::Won => self.begin_collection(now, key, out),
-            ClaimState::Held(owner, held, digest) => self.on_held(now, key, owner, held, digest, out),
+            ClaimState::Held(owner, held, digest) => {
+                self.on_held(now, key, owner, held, digest, out);
+            }
             ClaimState::Forgotten => {
                 let detail = "the registry's records of that time are lost";
-                self.fail(now, key, Failure::unknown(FailureKind::OutcomeUnknown, detail), out);
+                self.fail(
+                    now,
+                    key,
+                    Failure::unknown(FailureKind::OutcomeUnknown, detail),
+                    out,
+                );
             }
         }
         self.pump(now, out);
@@ -102,23 +133,38 @@
         digest: Digest,
         out: &mut Vec<Action>,
     ) {
-        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
         if job.digest != digest {
             let detail = "the key was used for another request";
-            self.fail(now, key, Failure::not_run(FailureKind::KeyConflict, detail), out);
+            self.fail(
+                now,
+                key,
+                Failure::not_run(FailureKind::KeyConflict, detail),
+                out,
+            );
             return;
         }
         if owner == self.me || !self.is_living(&owner) {
             self.take_over(now, key, attempt, out);
             return;
         }
-        let Some(job) = self.jobs.get_mut(&key) else { return };
-        job.phase = Phase::Attached { owner, attempt, asked: None };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        job.phase = Phase::Attached {
+            owner,
+            attempt,
+            asked: None,
+        };
         self.ask_owner(now, key, out);
     }
 
     fn is_living(&self, node: &NodeRef) -> bool {
-        self.members.iter().any(|m| m.node == *node && m.state != MemberState::Dead)
+        self.members
+            .iter()
+            .any(|m| m.node == *node && m.state != MemberState::Dead)
     }
 
     /// Claims the key at a higher attempt than its holder's.
@@ -131,8 +177,17 @@
 
     /// Asks the entry that holds the key, or takes over when that one is gone.
     fn ask_owner(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get(&key) else { return };
-        let Phase::Attached { owner, attempt, asked } = &job.phase else { return };
+        let Some(job) = self.jobs.get(&key) else {
+            return;
+        };
+        let Phase::Attached {
+            owner,
+            attempt,
+            asked,
+        } = &job.phase
+        else {
+            return;
+        };
         if !self.is_living(owner) {
             let attempt = *attempt;
             self.take_over(now, key, attempt, out);
@@ -172,7 +227,10 @@
             }
         }
         let answer = self.ended.get(&key).and_then(|ended| ended.answer.clone());
-        out.push(Action::Peer(entry.name.clone(), Peer::Attached { key, answer }));
+        out.push(Action::Peer(
+            entry.name.clone(),
+            Peer::Attached { key, answer },
+        ));
     }
 
     fn on_attached(
@@ -183,8 +241,12 @@
         answer: Option<Answer>,
         out: &mut Vec<Action>,
     ) {
-        let Some(job) = self.jobs.get(&key) else { return };
-        let Phase::Attached { owner, attempt, .. } = &job.phase else { return };
+        let Some(job) = self.jobs.get(&key) else {
+            return;
+        };
+        let Phase::Attached { owner, attempt, .. } = &job.phase else {
+            return;
+        };
         if owner != entry {
             return;
         }
--- a/crates/core/src/dispatcher/finish.rs
+++ b/crates/core/src/dispatcher/finish.rs
@@ -11,7 +11,9 @@
 impl Dispatcher {
     /// Answers a job once every task's result is there.
     pub(super) fn finish_if_done(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get(&key) else { return };
+        let Some(job) = self.jobs.get(&key) else {
+            return;
+        };
         if job.done < job.tasks.len() {
             return;
         }
@@ -22,8 +24,16 @@
     }
 
     /// Fails a job as a whole. "Not run" stands only when no dispatch of it is unrefuted.
-    pub(super) fn fail(&mut self, now: Now, key: JobKey, mut failure: Failure, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get(&key) else { return };
+    pub(super) fn fail(
+        &mut self,
+        now: Now,
+        key: JobKey,
+        mut failure: Failure,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(job) = self.jobs.get(&key) else {
+            return;
+        };
         failure.ran = job.proved(&failure);
         self.finish(now, key, Err(failure), out);
     }
@@ -31,15 +41,21 @@
     /// Answers all waiters and remembers what a resubmission may ask for.
     pub(super) fn finish(&mut self, now: Now, key: JobKey, answer: Answer, out: &mut Vec<Action>) {
         self.dequeue(key);
-        let Some(job) = self.jobs.swap_remove(&key) else { return };
+        let Some(job) = self.jobs.swap_remove(&key) else {
+            return;
+        };
         if job.admitted {
-            self.quotas.release(&job.spec.tenant, job.tasks.len() as u32);
+            self.quotas
+                .release(&job.spec.tenant, job.tasks.len() as u32);
         }
         out.push(Action::Note(Note::JobEnded {
             tenant: job.spec.tenant.clone(),
             class: job.spec.class,
             time: now.mono.duration_since(job.arrived),
-            failure: answer.as_ref().err().map(|failure| (failure.kind, failure.ran)),
+            failure: answer
+                .as_ref()
+                .err()
+                .map(|failure| (failure.kind, failure.ran)),
         }));
         for waiter in &job.waiters {
             out.push(match waiter {
@@ -55,15 +71,25 @@
 
     /// Remembers a keyed job's end. One that did not run may be submitted again.
     fn remember(&mut self, key: JobKey, job: &Job, answer: Answer) {
-        let not_run = answer.as_ref().is_err_and(|failure| failure.ran == Ran::NotRun);
+        let not_run = answer
+            .as_ref()
+            .is_err_and(|failure| failure.ran == Ran::NotRun);
         if !job.spec.keyed || not_run || !job.is_settled(&answer) {
             return;
         }
         let bytes = match &answer {
-            Ok(results) => results.iter().map(|result| result.len() + size_of::<Arc<[u8]>>()).sum(),
+            Ok(results) => results
+                .iter()
+                .map(|result| result.len() + size_of::<Arc<[u8]>>())
+                .sum(),
             Err(failure) => failure.detail.len(),
         };
-        let ended = Ended { digest: job.digest, attempt: job.attempt, answer: Some(answer), bytes };
+        let ended = Ended {
+            digest: job.digest,
+            attempt: job.attempt,
+            answer: Some(answer),
+            bytes,
+        };
         self.retained_bytes += bytes;
         if let Some(before) = self.ended.insert(key, ended) {
             self.retained_bytes -= before.bytes;
@@ -93,7 +119,11 @@
     fn proved(&self, failure: &Failure) -> Ran {
         let attempt_proves = !self.spec.keyed || self.attempt == 1 && self.admitted;
         let claims_nothing = failure.ran == Ran::NotRun;
-        if self.started == 0 && (attempt_proves || claims_nothing) { Ran::NotRun } else { Ran::Unknown }
+        if self.started == 0 && (attempt_proves || claims_nothing) {
+            Ran::NotRun
+        } else {
+            Ran::Unknown
+        }
     }
 
     /// Whether the answer is final: an unknown outcome may still be collected later.
--- a/crates/core/src/dispatcher/links.rs
+++ b/crates/core/src/dispatcher/links.rs
@@ -38,8 +38,12 @@
             let worker = self.fleet.workers().get(&m.node.name);
             worker.is_some_and(|worker| m.node.incarnation > worker.node.incarnation)
         };
-        let names: Vec<Name> =
-            self.members.iter().filter(replaced).map(|m| m.node.name.clone()).collect();
+        let names: Vec<Name> = self
+            .members
+            .iter()
+            .filter(replaced)
+            .map(|m| m.node.name.clone())
+            .collect();
         let mut lost: Vec<(Name, Sent)> = Vec::new();
         for name in names {
             let sent = self.fleet.take_all(&name);
@@ -59,7 +63,10 @@
     }
 
     fn is_waiting_for(&self, task: TaskRef, from: &Name) -> bool {
-        let state = self.jobs.get(&task.key).and_then(|job| job.tasks.get(task.index as usize));
+        let state = self
+            .jobs
+            .get(&task.key)
+            .and_then(|job| job.tasks.get(task.index as usize));
         matches!(state, Some(TaskState::Sent { worker, .. }) if worker == from)
     }
 
@@ -72,17 +79,34 @@
             ToEntry::Recall { credits } => self.on_recall(from, credits, out),
             ToEntry::Running { .. } => {}
             ToEntry::Refused { task, reason } => self.on_refused(now, from, task, reason, out),
-            ToEntry::Done { task, digest, run_us, result, credit, epoch } => {
+            ToEntry::Done {
+                task,
+                digest,
+                run_us,
+                result,
+                credit,
+                epoch,
+            } => {
                 if credit {
                     self.fleet.grant(from, 1, epoch);
                 }
                 let run = Duration::from_micros(u64::from(run_us));
                 self.on_done(now, from, task, digest, run, result, out);
             }
-            ToEntry::Collected { key, attempt, knows_since, running, done } => {
+            ToEntry::Collected {
+                key,
+                attempt,
+                knows_since,
+                running,
+                done,
+            } => {
                 self.on_collected(now, from, key, attempt, knows_since, running, done, out);
             }
-            ToEntry::Claimed { key, attempt, reply } => {
+            ToEntry::Claimed {
+                key,
+                attempt,
+                reply,
+            } => {
                 self.on_claimed(now, from, key, attempt, reply, out);
                 return;
             }
@@ -99,13 +123,29 @@
 
     /// Gives idle credits back unless tasks wait for them.
     fn on_recall(&mut self, from: &Name, credits: u32, out: &mut Vec<Action>) {
-        let waiting: u32 = self.queues.values().map(crate::queue::ServiceQueue::total).sum();
-        let Some(worker) = self.fleet.get_mut(from) else { return };
-        let idle = if waiting > 0 { 0 } else { worker.credits.min(credits) };
+        let waiting: u32 = self
+            .queues
+            .values()
+            .map(crate::queue::ServiceQueue::total)
+            .sum();
+        let Some(worker) = self.fleet.get_mut(from) else {
+            return;
+        };
+        let idle = if waiting > 0 {
+            0
+        } else {
+            worker.credits.min(credits)
+        };
         worker.credits -= idle;
         worker.declared = 0;
         let epoch = worker.offer.epoch;
-        out.push(Action::Send(from.clone(), ToAgent::Return { credits: idle, epoch }));
+        out.push(Action::Send(
+            from.clone(),
+            ToAgent::Return {
+                credits: idle,
+                epoch,
+            },
+        ));
     }
 
     #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
@@ -139,15 +179,28 @@
     fn learn_run_time(&mut self, task: TaskRef, sent: &Sent, run: Duration, out: &mut Vec<Action>) {
         let id = (sent.service.clone(), sent.class);
         let seconds = run.as_secs_f64();
-        let times = self.run_times.entry(id).or_insert(RunTimes { mean: seconds, seen: 0 });
+        let times = self.run_times.entry(id).or_insert(RunTimes {
+            mean: seconds,
+            seen: 0,
+        });
         times.seen = times.seen.saturating_add(1);
         let rate = (1.0 / f64::from(times.seen)).max(RUN_TIME_RATE);
         times.mean += rate * (seconds - times.mean);
-        let Some(job) = self.jobs.get(&task.key) else { return };
+        let Some(job) = self.jobs.get(&task.key) else {
+            return;
+        };
         let (tenant, class) = (job.spec.tenant.clone(), sent.class);
-        if let Some(declared) = job.spec.tasks.get(task.index as usize).and_then(|t| t.declared) {
+        if let Some(declared) = job
+            .spec
+            .tasks
+            .get(task.index as usize)
+            .and_then(|t| t.declared)
+        {
             let ratio = (seconds / declared.as_secs_f64().max(1e-6)).ln();
-            self.declared.entry((tenant.clone(), class)).or_default().learn(ratio);
+            self.declared
+                .entry((tenant.clone(), class))
+                .or_default()
+                .learn(ratio);
         }
         out.push(Action::Note(Note::TaskEnded { tenant, class, run }));
     }
@@ -168,17 +221,30 @@
         if !self.is_waiting_for(task, from) {
             return;
         }
-        let Some(job) = self.jobs.get_mut(&task.key) else { return };
+        let Some(job) = self.jobs.get_mut(&task.key) else {
+            return;
+        };
         job.started = job.started.saturating_sub(1);
         let tenant = job.spec.tenant.clone();
-        let TaskState::Sent { tries, .. } = &job.tasks[task.index as usize] else { return };
+        let TaskState::Sent { tries, .. } = &job.tasks[task.index as usize] else {
+            return;
+        };
         let tries = *tries;
         if reason == RefusalReason::Superseded {
-            let failure = Failure::unknown(FailureKind::TakenOver, "another entry took the job over");
+            let failure =
+                Failure::unknown(FailureKind::TakenOver, "another entry took the job over");
             self.fail(now, task.key, failure, out);
         } else if tries >= MAX_TRIES || !self.quotas.retry(&tenant) {
-            let detail = format!("task {} was refused {tries} times, last: {reason:?}", task.index);
-            self.fail(now, task.key, Failure::unknown(FailureKind::Overloaded, detail), out);
+            let detail = format!(
+                "task {} was refused {tries} times, last: {reason:?}",
+                task.index
+            );
+            self.fail(
+                now,
+                task.key,
+                Failure::unknown(FailureKind::Overloaded, detail),
+                out,
+            );
         } else {
             out.push(Action::Note(Note::Retried));
             self.requeue(task, tries);
--- a/crates/core/src/dispatcher/pump.rs
+++ b/crates/core/src/dispatcher/pump.rs
@@ -40,8 +40,11 @@
     }
 
     fn note_short_demand(&mut self, service: &Name) {
-        let Some(queue) = self.queues.get(service) else { return };
-        let demand = f64::from(queue.tasks(Class::Short) + self.fleet.on_workers(service, Class::Short));
+        let Some(queue) = self.queues.get(service) else {
+            return;
+        };
+        let demand =
+            f64::from(queue.tasks(Class::Short) + self.fleet.on_workers(service, Class::Short));
         let slots = f64::from(self.fleet.in_hand(service));
         let peak = self.short_peak.entry(service.clone()).or_default();
         *peak = peak.max(demand.min(slots));
@@ -52,7 +55,9 @@
             return false;
         }
         for class in self.class_order(service) {
-            let Some(queue) = self.queues.get(service) else { return false };
+            let Some(queue) = self.queues.get(service) else {
+                return false;
+            };
             if queue.tasks(class) == 0 || class == Class::Long && !self.may_start_long(service) {
                 continue;
             }
@@ -72,7 +77,12 @@
             return Class::ALL;
         }
         let arrived = |class: Class| {
-            let key = self.queues.get(service)?.candidates(class, 1).first().copied()?;
+            let key = self
+                .queues
+                .get(service)?
+                .candidates(class, 1)
+                .first()
+                .copied()?;
             self.jobs.get(&key).map(|job| job.arrived)
         };
         match (arrived(Class::Short), arrived(Class::Long)) {
@@ -87,7 +97,10 @@
             return true;
         }
         let slots = f64::from(self.fleet.in_hand(service));
-        let percent = self.cluster.as_ref().map_or(100, |c| c.preset().long_share_percent);
+        let percent = self
+            .cluster
+            .as_ref()
+            .map_or(100, |c| c.preset().long_share_percent);
         let share = slots * f64::from(percent) / 100.0;
         let peak = self.short_peak.get(service).copied().unwrap_or(0.0);
         let room = (slots - peak * SHORT_MARGIN).min(slots * (1.0 - KEPT_FROM_LONG));
@@ -126,10 +139,17 @@
 
     /// The run time that the job's next task is expected to take on a worker of mean speed.
     fn expected_run(&self, key: JobKey) -> Duration {
-        let Some(job) = self.jobs.get(&key) else { return Class::Short.prior() };
+        let Some(job) = self.jobs.get(&key) else {
+            return Class::Short.prior();
+        };
         let mean = self.mean_run(&job.spec.service, job.spec.class);
         let index = job.queued.front().copied().unwrap_or(0);
-        let Some(declared) = job.spec.tasks.get(index as usize).and_then(|task| task.declared) else {
+        let Some(declared) = job
+            .spec
+            .tasks
+            .get(index as usize)
+            .and_then(|task| task.declared)
+        else {
             return mean;
         };
         let id = (job.spec.tenant.clone(), job.spec.class);
@@ -146,22 +166,50 @@
         self.dequeue(key);
         let dispatch = self.next_dispatch;
         self.next_dispatch += 1;
-        let Some(job) = self.jobs.get_mut(&key) else { return };
-        let Some(index) = job.queued.pop_front() else { return };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let Some(index) = job.queued.pop_front() else {
+            return;
+        };
         let tries = job.tries.swap_remove(&index).unwrap_or(0) + 1;
-        job.tasks[index as usize] = TaskState::Sent { worker: worker.clone(), tries };
+        job.tasks[index as usize] = TaskState::Sent {
+            worker: worker.clone(),
+            tries,
+        };
         job.started += 1;
-        let (tenant, class, service) =
-            (job.spec.tenant.clone(), job.spec.class, job.spec.service.clone());
-        let task = TaskRef { key, attempt: job.attempt, index, dispatch };
+        let (tenant, class, service) = (
+            job.spec.tenant.clone(),
+            job.spec.class,
+            job.spec.service.clone(),
+        );
+        let task = TaskRef {
+            key,
+            attempt: job.attempt,
+            index,
+            dispatch,
+        };
         let rest = job.deadline.saturating_duration_since(now.mono);
         let payload = job.spec.tasks[index as usize].payload.clone();
         let wait = now.mono.duration_since(job.arrived);
         self.enqueue(key);
-        let backlog = self.queues.get(&service).map_or(0, crate::queue::ServiceQueue::total);
-        let sent = Sent { task, class, service: service.clone(), expected, at: now.mono };
+        let backlog = self
+            .queues
+            .get(&service)
+            .map_or(0, crate::queue::ServiceQueue::total);
+        let sent = Sent {
+            task,
+            class,
+            service: service.clone(),
+            expected,
+            at: now.mono,
+        };
         self.fleet.start(&worker, sent, backlog);
-        let epoch = self.fleet.workers().get(&worker).map_or(0, |w| w.offer.epoch);
+        let epoch = self
+            .fleet
+            .workers()
+            .get(&worker)
+            .map_or(0, |w| w.offer.epoch);
         let weight = self.weight(&tenant);
         if let Some(queue) = self.queues.get_mut(&service) {
             queue.charge(class, &tenant, expected.as_secs_f64(), weight);
@@ -180,17 +228,25 @@
             payload,
         };
         out.push(Action::Send(worker, ToAgent::Start(start)));
-        out.push(Action::Note(Note::Started { tenant, class, wait }));
+        out.push(Action::Note(Note::Started {
+            tenant,
+            class,
+            wait,
+        }));
     }
 
     fn weight(&self, tenant: &Name) -> u32 {
         let cluster = self.cluster.as_ref();
-        cluster.and_then(|c| c.tenants.get(tenant)).map_or(1, |tenant| tenant.value.weight)
+        cluster
+            .and_then(|c| c.tenants.get(tenant))
+            .map_or(1, |tenant| tenant.value.weight)
     }
 
     /// Tells agents that do not know it yet that tasks wait here.
     fn call_for_credits(&mut self, now: Now, service: &Name, out: &mut Vec<Action>) {
-        let Some(queue) = self.queues.get(service) else { return };
+        let Some(queue) = self.queues.get(service) else {
+            return;
+        };
         let backlog = queue.total();
         if backlog == 0 || now.mono < self.next_want || self.policy.mode != Mode::Credits {
             return;
--- a/crates/core/src/dispatcher/recover.rs
+++ b/crates/core/src/dispatcher/recover.rs
@@ -32,18 +32,36 @@
         let members = self.members.iter().filter(|m| m.role == Role::Agent);
         let mut missing: IndexSet<Name> = members.map(|m| m.node.name.clone()).collect();
         missing.extend(self.fleet.workers().keys().cloned());
-        let Some(job) = self.jobs.get_mut(&key) else { return };
-        job.phase = Phase::Collecting(Collection { missing, doubtful: false, asked: now.mono });
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        job.phase = Phase::Collecting(Collection {
+            missing,
+            doubtful: false,
+            asked: now.mono,
+        });
         self.ask_agents(key, out);
         self.go_on(now, key, out);
     }
 
     fn ask_agents(&self, key: JobKey, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get(&key) else { return };
-        let Phase::Collecting(collection) = &job.phase else { return };
-        let up = |name: &&Name| self.fleet.workers().get(*name).is_some_and(|worker| worker.up);
+        let Some(job) = self.jobs.get(&key) else {
+            return;
+        };
+        let Phase::Collecting(collection) = &job.phase else {
+            return;
+        };
+        let up = |name: &&Name| {
+            self.fleet
+                .workers()
+                .get(*name)
+                .is_some_and(|worker| worker.up)
+        };
         for name in collection.missing.iter().filter(up) {
-            let msg = ToAgent::Collect { key, attempt: job.attempt };
+            let msg = ToAgent::Collect {
+                key,
+                attempt: job.attempt,
+            };
             out.push(Action::Send(name.clone(), msg));
         }
     }
@@ -78,8 +96,12 @@
         done: Vec<(u16, Digest, TaskResult)>,
         out: &mut Vec<Action>,
     ) {
-        let Some(job) = self.jobs.get_mut(&key) else { return };
-        let Phase::Collecting(collection) = &mut job.phase else { return };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let Phase::Collecting(collection) = &mut job.phase else {
+            return;
+        };
         if job.attempt != attempt || !collection.missing.swap_remove(from) {
             return;
         }
@@ -87,7 +109,10 @@
         job.started += (running.len() + done.len()) as u32;
         for index in running {
             if let Some(state) = job.tasks.get_mut(index as usize) {
-                *state = TaskState::Sent { worker: from.clone(), tries: 1 };
+                *state = TaskState::Sent {
+                    worker: from.clone(),
+                    tries: 1,
+                };
             }
         }
         for (index, digest, result) in done {
@@ -101,8 +126,12 @@
 
     /// Goes on with a job as soon as all its tasks are accounted for.
     fn go_on(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get_mut(&key) else { return };
-        let Phase::Collecting(collection) = &job.phase else { return };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let Phase::Collecting(collection) = &job.phase else {
+            return;
+        };
         let unaccounted: Vec<u16> = (0..job.tasks.len() as u16)
             .filter(|index| job.tasks[*index as usize] == TaskState::Queued)
             .collect();
@@ -113,7 +142,12 @@
         }
         if collection.doubtful {
             let detail = "a worker that may have run tasks of this job lost its memory";
-            self.fail(now, key, Failure::unknown(FailureKind::OutcomeUnknown, detail), out);
+            self.fail(
+                now,
+                key,
+                Failure::unknown(FailureKind::OutcomeUnknown, detail),
+                out,
+            );
             return;
         }
         if !collection.missing.is_empty() {
@@ -137,8 +171,12 @@
         result: TaskResult,
         out: &mut Vec<Action>,
     ) -> Result<(), Failure> {
-        let Some(job) = self.jobs.get_mut(&key) else { return Ok(()) };
-        let Some(spec) = job.spec.tasks.get(index as usize) else { return Ok(()) };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return Ok(());
+        };
+        let Some(spec) = job.spec.tasks.get(index as usize) else {
+            return Ok(());
+        };
         if task_digest(key, index, &spec.payload) != digest {
             out.push(Action::Note(Note::Dropped("digest")));
             return Ok(());
@@ -162,7 +200,9 @@
 
     /// Asks an agent that linked again what became of our dispatches to it.
     pub(super) fn query_worker(&self, name: &Name, out: &mut Vec<Action>) {
-        let Some(worker) = self.fleet.workers().get(name) else { return };
+        let Some(worker) = self.fleet.workers().get(name) else {
+            return;
+        };
         let tasks: Vec<TaskRef> = worker.sent.values().map(|sent| sent.task).collect();
         if !tasks.is_empty() {
             out.push(Action::Send(name.clone(), ToAgent::Query { tasks }));
--- a/crates/core/src/fence.rs
+++ b/crates/core/src/fence.rs
@@ -66,7 +66,9 @@
         if forgotten || self.tasks >= MAX_REMEMBERED_TASKS {
             return Verdict::Refuse(RefusalReason::TooLate);
         }
-        let Some(job) = self.jobs.get(&start.key) else { return Verdict::Start };
+        let Some(job) = self.jobs.get(&start.key) else {
+            return Verdict::Start;
+        };
         if start.attempt < job.min_attempt {
             return Verdict::Refuse(RefusalReason::Superseded);
         }
@@ -83,7 +85,11 @@
         let job = self.jobs.entry(task.key).or_default();
         job.min_attempt = job.min_attempt.max(task.attempt);
         job.owner = Some(owner.clone());
-        if job.tasks.insert(task.index, TaskMemory::Running(task, digest)).is_none() {
+        if job
+            .tasks
+            .insert(task.index, TaskMemory::Running(task, digest))
+            .is_none()
+        {
             self.tasks += 1;
         }
     }
@@ -91,14 +97,16 @@
     /// Remembers a result. Returns the entry that it goes to.
     pub fn ended(&mut self, task: TaskRef, digest: Digest, result: TaskResult) -> Option<Name> {
         let job = self.jobs.get_mut(&task.key)?;
-        job.tasks.insert(task.index, TaskMemory::Done(task, digest, result));
+        job.tasks
+            .insert(task.index, TaskMemory::Done(task, digest, result));
         job.owner.clone()
     }
 
     /// Forgets a start that is proved not to have reached the backend server, and bars it.
     pub fn never_started(&mut self, task: TaskRef) -> Option<Name> {
         let job = self.jobs.get_mut(&task.key)?;
-        job.tasks.insert(task.index, TaskMemory::Barred(task.dispatch));
+        job.tasks
+            .insert(task.index, TaskMemory::Barred(task.dispatch));
         job.owner.clone()
     }
 
@@ -116,23 +124,36 @@
     }
 
     /// Bars all attempts below `attempt` and says what is known of the job.
-    pub fn collect(&mut self, owner: &Name, key: JobKey, attempt: u32) -> Option<Vec<(u16, TaskMemory)>> {
+    pub fn collect(
+        &mut self,
+        owner: &Name,
+        key: JobKey,
+        attempt: u32,
+    ) -> Option<Vec<(u16, TaskMemory)>> {
         let job = self.jobs.entry(key).or_default();
         if attempt < job.min_attempt {
             return None;
         }
         job.min_attempt = attempt;
         job.owner = Some(owner.clone());
-        Some(job.tasks.iter().map(|(index, known)| (*index, known.clone())).collect())
+        Some(
+            job.tasks
+                .iter()
+                .map(|(index, known)| (*index, known.clone()))
+                .collect(),
+        )
     }
 
     /// Drops what no entry asks about any more. Running tasks stay.
     pub fn expire(&mut self, wall: WallMs, window: Duration) {
         let oldest = wall.before(window + CLOCK_TOLERANCE * 2);
         let running = |job: &JobMemory| {
-            job.tasks.values().any(|known| matches!(known, TaskMemory::Running(..)))
+            job.tasks
+                .values()
+                .any(|known| matches!(known, TaskMemory::Running(..)))
         };
-        self.jobs.retain(|key, job| key.created() >= oldest || running(job));
+        self.jobs
+            .retain(|key, job| key.created() >= oldest || running(job));
         self.tasks = self.jobs.values().map(|job| job.tasks.len()).sum();
         self.jobs.shrink_to(self.jobs.len() * 2);
     }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -128,7 +128,13 @@
 impl Fleet {
     /// An empty fleet; speeds and health are learned or not.
     pub fn new(learn_speeds: bool, eject: bool) -> Self {
-        Self { workers: IndexMap::new(), on: IndexMap::new(), linked: 0, learn_speeds, eject }
+        Self {
+            workers: IndexMap::new(),
+            on: IndexMap::new(),
+            linked: 0,
+            learn_speeds,
+            eject,
+        }
     }
 
     /// The number under which the next new worker process links.
@@ -148,7 +154,10 @@
 
     /// A worker linked. Returns the tasks that were on an earlier process of the same name.
     pub fn link_up(&mut self, now: Instant, node: NodeRef) -> Vec<Sent> {
-        let known = self.workers.get_mut(&node.name).filter(|worker| worker.node == node);
+        let known = self
+            .workers
+            .get_mut(&node.name)
+            .filter(|worker| worker.node == node);
         if let Some(worker) = known {
             worker.up = true;
             worker.heard = now;
@@ -184,7 +193,9 @@
 
     /// Takes all tasks off a worker whose process is gone.
     pub fn take_all(&mut self, name: &Name) -> Vec<Sent> {
-        let Some(worker) = self.workers.get_mut(name) else { return Vec::new() };
+        let Some(worker) = self.workers.get_mut(name) else {
+            return Vec::new();
+        };
         let lost: Vec<Sent> = worker.sent.drain(..).map(|(_, sent)| sent).collect();
         for sent in &lost {
             self.count_off(sent);
@@ -199,7 +210,9 @@
 
     /// Whether any credit of a service's workers is in hand.
     pub fn has_credit(&self, service: &Name) -> bool {
-        self.workers.values().any(|w| w.credits > 0 && w.offer.services.contains(service))
+        self.workers
+            .values()
+            .any(|w| w.credits > 0 && w.offer.services.contains(service))
     }
 
     fn count_off(&mut self, sent: &Sent) {
@@ -238,7 +251,13 @@
     /// The best worker with a credit for a task, or `None` when waiting is better.
     ///
     /// A slow free slot is left alone when a faster one is expected to end the task sooner.
-    pub fn choose(&self, now: Instant, wanted: Wanted<'_>, expected: Duration, queued: u32) -> Option<Name> {
+    pub fn choose(
+        &self,
+        now: Instant,
+        wanted: Wanted<'_>,
+        expected: Duration,
+        queued: u32,
+    ) -> Option<Name> {
         let eligible = |worker: &&Worker| {
             worker.first_seen < wanted.before && worker.in_service(wanted.service, wanted.needs)
         };
@@ -291,7 +310,9 @@
         let serving = self.workers.values().filter(|worker| {
             worker.first_seen < wanted.before && worker.in_service(wanted.service, wanted.needs)
         });
-        serving.map(|worker| (worker.node.name.clone(), worker.sent.len())).collect()
+        serving
+            .map(|worker| (worker.node.name.clone(), worker.sent.len()))
+            .collect()
     }
 
     /// Workers without credits that were not told of a backlog, now marked as told.
@@ -312,7 +333,10 @@
         if let Some(worker) = self.workers.get_mut(name) {
             worker.credits = worker.credits.saturating_sub(1);
             worker.declared = backlog;
-            *self.on.entry((sent.service.clone(), sent.class)).or_default() += 1;
+            *self
+                .on
+                .entry((sent.service.clone(), sent.class))
+                .or_default() += 1;
             worker.sent.insert((sent.task.key, sent.task.index), sent);
         }
     }
@@ -321,7 +345,10 @@
     pub fn take(&mut self, name: &Name, task: TaskRef) -> Option<Sent> {
         let worker = self.workers.get_mut(name)?;
         let id = (task.key, task.index);
-        worker.sent.get(&id).filter(|sent| sent.task.dispatch == task.dispatch)?;
+        worker
+            .sent
+            .get(&id)
+            .filter(|sent| sent.task.dispatch == task.dispatch)?;
         let sent = worker.sent.swap_remove(&id)?;
         self.count_off(&sent);
         Some(sent)
@@ -342,17 +369,22 @@
         if !self.learn_speeds || run.is_zero() {
             return;
         }
-        let Some(worker) = self.workers.get_mut(name) else { return };
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
         worker.speed_seen += 1;
         let rate = (1.0 / f64::from(worker.speed_seen + 3)).max(SPEED_RATE);
-        let surprise = (run.as_secs_f64() / expected.as_secs_f64().max(1e-6)).ln() - worker.slowness;
+        let surprise =
+            (run.as_secs_f64() / expected.as_secs_f64().max(1e-6)).ln() - worker.slowness;
         worker.slowness += rate * surprise.clamp(-MAX_SURPRISE, MAX_SURPRISE);
     }
 
     fn judge(&mut self, now: Instant, name: &Name, service: &Name, failed: bool) {
         let peers = self.peer_failures(name, service);
         let may_eject = self.may_eject_another(service);
-        let Some(worker) = self.workers.get_mut(name) else { return };
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
         let health = &mut worker.health;
         health.seen += 1;
         health.failures += FAILURE_RATE * (f64::from(u8::from(failed)) - health.failures);
@@ -381,11 +413,18 @@
         let (count, sum) = peers.fold((0_u32, 0.0), |(count, sum), worker| {
             (count + 1, sum + worker.health.failures)
         });
-        if count == 0 { 1.0 } else { sum / f64::from(count) }
+        if count == 0 {
+            1.0
+        } else {
+            sum / f64::from(count)
+        }
     }
 
     fn may_eject_another(&self, service: &Name) -> bool {
-        let serving = self.workers.values().filter(|w| w.up && w.offer.services.contains(service));
+        let serving = self
+            .workers
+            .values()
+            .filter(|w| w.up && w.offer.services.contains(service));
         let (all, ejected) = serving.fold((0_u32, 0_u32), |(all, ejected), worker| {
             (all + 1, ejected + u32::from(worker.health.probes.is_some()))
         });
@@ -394,8 +433,13 @@
 
     /// Slots of a service that this entry has in hand: credits and tasks that run.
     pub fn in_hand(&self, service: &Name) -> u32 {
-        let serving = self.workers.values().filter(|w| w.up && w.offer.services.contains(service));
-        serving.map(|worker| worker.credits + worker.sent.len() as u32).sum()
+        let serving = self
+            .workers
+            .values()
+            .filter(|w| w.up && w.offer.services.contains(service));
+        serving
+            .map(|worker| worker.credits + worker.sent.len() as u32)
+            .sum()
     }
 
     /// Whether any linked worker could ever run such a task; `None` when none serves it at all.
@@ -411,7 +455,10 @@
 
     /// Names of workers that are ejected or on probation.
     pub fn ejected(&self) -> Vec<Name> {
-        let out = self.workers.values().filter(|worker| worker.health.probes.is_some());
+        let out = self
+            .workers
+            .values()
+            .filter(|worker| worker.health.probes.is_some());
         out.map(|worker| worker.node.name.clone()).collect()
     }
 
--- a/crates/core/src/grants.rs
+++ b/crates/core/src/grants.rs
@@ -72,7 +72,9 @@
 
     /// Uses one of the entry's credits for a start.
     pub fn start(&mut self, entry: &Name, backlog: u32) -> bool {
-        let Some(account) = self.accounts.get_mut(entry) else { return false };
+        let Some(account) = self.accounts.get_mut(entry) else {
+            return false;
+        };
         account.backlog = backlog;
         if account.granted == 0 {
             return false;
@@ -95,7 +97,9 @@
         if self.free() == 0 || self.neediest().is_some_and(|neediest| neediest != *entry) {
             return false;
         }
-        let Some(account) = self.accounts.get_mut(entry) else { return false };
+        let Some(account) = self.accounts.get_mut(entry) else {
+            return false;
+        };
         account.granted += 1;
         account.backlog = account.backlog.saturating_sub(1);
         true
@@ -121,14 +125,18 @@
     pub fn moves(&mut self) -> Vec<Move> {
         let mut grants: IndexMap<Name, u32> = IndexMap::new();
         while self.free() > 0 {
-            let Some(entry) = self.neediest().or_else(|| self.poorest()) else { break };
+            let Some(entry) = self.neediest().or_else(|| self.poorest()) else {
+                break;
+            };
             let account = &mut self.accounts[&entry];
             account.granted += 1;
             account.backlog = account.backlog.saturating_sub(1);
             *grants.entry(entry).or_default() += 1;
         }
-        let mut moves: Vec<Move> =
-            grants.into_iter().map(|(entry, credits)| Move::Grant(entry, credits)).collect();
+        let mut moves: Vec<Move> = grants
+            .into_iter()
+            .map(|(entry, credits)| Move::Grant(entry, credits))
+            .collect();
         moves.extend(self.recall());
         moves
     }
@@ -145,12 +153,19 @@
 
     /// The entry with the fewest credits.
     fn poorest(&self) -> Option<Name> {
-        self.accounts.iter().min_by_key(|(_, a)| a.granted).map(|(entry, _)| entry.clone())
+        self.accounts
+            .iter()
+            .min_by_key(|(_, a)| a.granted)
+            .map(|(entry, _)| entry.clone())
     }
 
     /// Asks an entry without backlog for idle credits when another one waits without any.
     fn recall(&mut self) -> Option<Move> {
-        let waiting = self.accounts.values().find(|a| a.backlog > 0 && a.granted == 0)?.backlog;
+        let waiting = self
+            .accounts
+            .values()
+            .find(|a| a.backlog > 0 && a.granted == 0)?
+            .backlog;
         let (holder, account) = self
             .accounts
             .iter_mut()
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -13,7 +13,9 @@
 /// Wall-clock time in milliseconds since the Unix epoch.
 ///
 /// Used only for ages of keys and incarnations, never for leases or timeouts.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 pub struct WallMs(pub u64);
 
 impl WallMs {
--- a/crates/core/src/journal.rs
+++ b/crates/core/src/journal.rs
@@ -95,13 +95,18 @@
         records.push(record);
         offset += HEADER_BYTES + payload.len();
     }
-    Ok(Decoded { records, valid_len: offset })
+    Ok(Decoded {
+        records,
+        valid_len: offset,
+    })
 }
 
 /// The payload of the record at `offset`, if it is whole and its checksums match.
 fn payload_at(buf: &[u8], offset: usize) -> Option<&[u8]> {
     let header = buf.get(offset..offset + HEADER_BYTES)?;
-    let word = |at: usize| u32::from_le_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]]);
+    let word = |at: usize| {
+        u32::from_le_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]])
+    };
     let len = word(0) as usize;
     if crc32fast::hash(&header[..4]) != word(4) || len > MAX_RECORD_BYTES {
         return None;
@@ -113,8 +118,11 @@
 
 /// A damaged record is a torn tail only if no valid record follows it.
 fn check_torn(buf: &[u8], offset: usize) -> Result<(), JournalError> {
-    let follows = (offset + 1..buf.len()).any(|at| {
-        payload_at(buf, at).is_some_and(|payload| !payload.is_empty())
-    });
-    if follows { Err(JournalError::Corrupt { offset }) } else { Ok(()) }
+    let follows = (offset + 1..buf.len())
+        .any(|at| payload_at(buf, at).is_some_and(|payload| !payload.is_empty()));
+    if follows {
+        Err(JournalError::Corrupt { offset })
+    } else {
+        Ok(())
+    }
 }
--- a/crates/core/src/linking.rs
+++ b/crates/core/src/linking.rs
@@ -10,7 +10,11 @@
 /// The entries that the agent `me` links to: all of them, or a stable subset of many.
 pub fn entries_for(me: &Name, members: &[Member]) -> Vec<Name> {
     let living = |m: &&Member| m.role == Role::Entry && m.state != MemberState::Dead;
-    let mut entries: Vec<Name> = members.iter().filter(living).map(|m| m.node.name.clone()).collect();
+    let mut entries: Vec<Name> = members
+        .iter()
+        .filter(living)
+        .map(|m| m.node.name.clone())
+        .collect();
     entries.sort_by_key(|entry| Digest::of(&[me.as_bytes(), entry.as_bytes()]).0);
     entries.truncate(MAX_ENTRY_LINKS);
     entries
@@ -18,8 +22,11 @@
 
 /// The entries that the entry `me` dials: those whose names come after its own.
 pub fn peers_for(me: &Name, members: &[Member]) -> Vec<Name> {
-    let later = |m: &&Member| {
-        m.role == Role::Entry && m.state != MemberState::Dead && m.node.name > *me
-    };
-    members.iter().filter(later).map(|m| m.node.name.clone()).collect()
+    let later =
+        |m: &&Member| m.role == Role::Entry && m.state != MemberState::Dead && m.node.name > *me;
+    members
+        .iter()
+        .filter(later)
+        .map(|m| m.node.name.clone())
+        .collect()
 }
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -205,7 +205,10 @@
         let mut targets: Vec<SocketAddr> = self.living().map(|m| m.gossip).collect();
         self.rng.shuffle(&mut targets);
         targets.truncate(REVISION_FANOUT);
-        targets.into_iter().map(|to| (to, self.ping(None))).collect()
+        targets
+            .into_iter()
+            .map(|to| (to, self.ping(None)))
+            .collect()
     }
 
     /// Takes in a member list from another process.
@@ -219,7 +222,8 @@
     pub fn tick(&mut self, now: Instant) -> Vec<Outgoing> {
         let mut out = self.check_outstanding(now);
         self.check_suspects(now);
-        self.relays.retain(|_, (_, _, sent)| now.duration_since(*sent) < PROBE_INTERVAL * 2);
+        self.relays
+            .retain(|_, (_, _, sent)| now.duration_since(*sent) < PROBE_INTERVAL * 2);
         if self.next_probe.is_none_or(|at| now >= at) {
             self.next_probe = Some(now + PROBE_INTERVAL);
             out.extend(self.probe(now));
@@ -279,7 +283,11 @@
         };
         if newer {
             self.generation += 1;
-            let known = Known { member, since: now, spread };
+            let known = Known {
+                member,
+                since: now,
+                spread,
+            };
             self.table.insert(known.member.node.name.clone(), known);
         }
     }
@@ -293,7 +301,9 @@
     }
 
     fn check_outstanding(&mut self, now: Instant) -> Vec<Outgoing> {
-        let Some(probe) = &mut self.outstanding else { return Vec::new() };
+        let Some(probe) = &mut self.outstanding else {
+            return Vec::new();
+        };
         let waited = now.duration_since(probe.sent);
         if waited >= PROBE_INTERVAL {
             let target = probe.target.clone();
@@ -309,8 +319,11 @@
         let Some(address) = self.table.get(&target).map(|known| known.member.gossip) else {
             return Vec::new();
         };
-        let mut helpers: Vec<SocketAddr> =
-            self.living().filter(|m| m.node.name != target).map(|m| m.gossip).collect();
+        let mut helpers: Vec<SocketAddr> = self
+            .living()
+            .filter(|m| m.node.name != target)
+            .map(|m| m.gossip)
+            .collect();
         self.rng.shuffle(&mut helpers);
         helpers.truncate(INDIRECT_PROBES);
         let relay = |to| (to, self.datagram(seq, Probe::Relay(address), Vec::new()));
@@ -360,14 +373,20 @@
             return out;
         }
         while let Some(name) = self.next_target() {
-            let Some(known) = self.table.get(&name) else { continue };
+            let Some(known) = self.table.get(&name) else {
+                continue;
+            };
             if known.member.state == MemberState::Dead {
                 continue;
             }
             let to = known.member.gossip;
             let ping = self.ping(Some(&name));
-            self.outstanding =
-                Some(Outstanding { seq: ping.seq, target: name, sent: now, indirect: false });
+            self.outstanding = Some(Outstanding {
+                seq: ping.seq,
+                target: name,
+                sent: now,
+                indirect: false,
+            });
             out.push((to, ping));
             break;
         }
@@ -395,7 +414,12 @@
         let unknown_seed = |seed: &&SocketAddr| {
             **seed != self.me.gossip && !self.table.values().any(|k| k.member.gossip == **seed)
         };
-        targets.extend(self.seeds.iter().filter(unknown_seed).map(|seed| (None, *seed)));
+        targets.extend(
+            self.seeds
+                .iter()
+                .filter(unknown_seed)
+                .map(|seed| (None, *seed)),
+        );
         let Some((name, to)) = self.rng.choice(targets) else {
             self.next_seq += 1;
             return Vec::new();
@@ -434,8 +458,9 @@
         {
             updates.push(known.member.clone());
         }
-        let mut travelling: Vec<usize> =
-            (0..self.table.len()).filter(|i| self.table[*i].spread > 0).collect();
+        let mut travelling: Vec<usize> = (0..self.table.len())
+            .filter(|i| self.table[*i].spread > 0)
+            .collect();
         travelling.sort_by_key(|i| std::cmp::Reverse(self.table[*i].spread));
         for i in travelling.into_iter().take(MAX_UPDATES - updates.len()) {
             self.table[i].spread -= 1;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -66,7 +66,11 @@
 /// (a newer process has the name, or an operator declared it), their knowledge is lost: the next
 /// version starts empty and knows nothing of keys created before it.
 pub fn plan(state: &ClusterState, members: &[Member], wall: WallMs) -> Option<Change> {
-    let view = View { state, members, wall };
+    let view = View {
+        state,
+        members,
+        wall,
+    };
     let candidates: Vec<&Member> = members.iter().filter(|m| view.is_candidate(m)).collect();
     let count = state.shards.len().max(SHARDS);
     let mut shards = Vec::new();
@@ -125,23 +129,37 @@
 
     /// Records that a version is served.
     fn settle(&self, present: &Shard) -> Option<Shard> {
-        let served = present.replicas.iter().any(|node| self.is_ready(node, present));
-        (present.version > 0 && !present.settled && served)
-            .then(|| Shard { settled: true, ..present.clone() })
+        let served = present
+            .replicas
+            .iter()
+            .any(|node| self.is_ready(node, present));
+        (present.version > 0 && !present.settled && served).then(|| Shard {
+            settled: true,
+            ..present.clone()
+        })
     }
 
     fn is_ready(&self, node: &NodeRef, shard: &Shard) -> bool {
-        self.reachable(node).is_some_and(|member| member.ready_for >= shard.placed_at)
+        self.reachable(node)
+            .is_some_and(|member| member.ready_for >= shard.placed_at)
     }
 
     fn reachable(&self, node: &NodeRef) -> Option<&Member> {
-        self.members.iter().find(|m| m.node == *node && m.state != MemberState::Dead)
+        self.members
+            .iter()
+            .find(|m| m.node == *node && m.state != MemberState::Dead)
     }
 
     /// Whether a later version can collect what this one knows.
     fn can_hand_over(&self, present: &Shard) -> bool {
-        let reachable = present.replicas.iter().filter(|node| self.reachable(node).is_some());
-        let ready = present.replicas.iter().any(|node| self.is_ready(node, present));
+        let reachable = present
+            .replicas
+            .iter()
+            .filter(|node| self.reachable(node).is_some());
+        let ready = present
+            .replicas
+            .iter()
+            .any(|node| self.is_ready(node, present));
         present.settled && ready && reachable.count() >= present.majority()
     }
 
@@ -169,7 +187,10 @@
     candidates: &[&Member],
 ) -> Vec<NodeRef> {
     let domain_of = |node: &NodeRef| -> Option<Name> {
-        members.iter().find(|m| m.node == *node).map(|m| m.domain.clone())
+        members
+            .iter()
+            .find(|m| m.node == *node)
+            .map(|m| m.domain.clone())
     };
     let mut chosen: Vec<NodeRef> = kept.iter().map(|node| (*node).clone()).collect();
     let mut domains: IndexSet<Name> = chosen.iter().filter_map(domain_of).collect();
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -55,7 +55,10 @@
 impl ServiceQueue {
     /// A queue that is fair between tenants, or not.
     pub fn new(fair: bool) -> Self {
-        Self { classes: Default::default(), fair }
+        Self {
+            classes: Default::default(),
+            fair,
+        }
     }
 
     /// Waiting tasks of a class.
@@ -95,10 +98,19 @@
     /// The jobs to look at for the next start, best first, at most `limit`.
     pub fn candidates(&self, class: Class, limit: usize) -> Vec<JobKey> {
         let lanes = &self.classes[class as usize];
-        let mut waiting: Vec<&Lane> =
-            lanes.tenants.values().filter(|lane| !lane.jobs.is_empty()).collect();
+        let mut waiting: Vec<&Lane> = lanes
+            .tenants
+            .values()
+            .filter(|lane| !lane.jobs.is_empty())
+            .collect();
         waiting.sort_unstable_by(|a, b| a.next.total_cmp(&b.next));
-        let of_lane = |lane: &&Lane| lane.jobs.iter().take(JOBS_PER_LANE).map(|(_, key)| *key).collect::<Vec<_>>();
+        let of_lane = |lane: &&Lane| {
+            lane.jobs
+                .iter()
+                .take(JOBS_PER_LANE)
+                .map(|(_, key)| *key)
+                .collect::<Vec<_>>()
+        };
         waiting.iter().flat_map(of_lane).take(limit).collect()
     }
 
@@ -106,7 +118,9 @@
     pub fn charge(&mut self, class: Class, tenant: &Name, cost: f64, weight: u32) {
         let tenant = self.lane_name(tenant);
         let lanes = &mut self.classes[class as usize];
-        let Some(lane) = lanes.tenants.get_mut(&tenant) else { return };
+        let Some(lane) = lanes.tenants.get_mut(&tenant) else {
+            return;
+        };
         lanes.now = lanes.now.max(lane.next);
         lane.next = lanes.now.max(lane.next) + cost / f64::from(weight.max(1));
     }
@@ -115,11 +129,17 @@
     pub fn tidy(&mut self) {
         for lanes in &mut self.classes {
             let now = lanes.now;
-            lanes.tenants.retain(|_, lane| !lane.jobs.is_empty() || lane.next > now);
+            lanes
+                .tenants
+                .retain(|_, lane| !lane.jobs.is_empty() || lane.next > now);
         }
     }
 
     fn lane_name(&self, tenant: &Name) -> Name {
-        if self.fair { tenant.clone() } else { Name::from("") }
+        if self.fair {
+            tenant.clone()
+        } else {
+            Name::from("")
+        }
     }
 }
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -88,7 +88,9 @@
 
     /// Takes one retry from the tenant's budget.
     pub fn retry(&mut self, tenant: &Name) -> bool {
-        let Some(account) = self.accounts.get_mut(tenant) else { return false };
+        let Some(account) = self.accounts.get_mut(tenant) else {
+            return false;
+        };
         let allowed = account.retries >= 1.0;
         if allowed {
             account.retries -= 1.0;
@@ -111,33 +113,44 @@
 
     /// Takes in another entry's demand.
     pub fn on_demand(&mut self, now: Instant, entry: Name, tenants: Vec<(Name, u32)>) {
-        self.peers.insert(entry, (now, tenants.into_iter().collect()));
+        self.peers
+            .insert(entry, (now, tenants.into_iter().collect()));
     }
 
     /// This entry's share of a tenant's quota. Over all entries the shares add up to 1.
     fn share(&mut self, now: Instant, tenant: &Name) -> f64 {
-        self.peers.retain(|_, (heard, _)| now.duration_since(*heard) < DEMAND_TIMEOUT);
+        self.peers
+            .retain(|_, (heard, _)| now.duration_since(*heard) < DEMAND_TIMEOUT);
         let entries = self.peers.len() as f64 + 1.0;
         let theirs: f64 = self
             .peers
             .values()
             .map(|(_, tenants)| f64::from(tenants.get(tenant).copied().unwrap_or(0)))
             .sum();
-        let own = self.accounts.get(tenant).map_or(0.0, |account| account.demand);
+        let own = self
+            .accounts
+            .get(tenant)
+            .map_or(0.0, |account| account.demand);
         let total = own + theirs;
-        let by_demand = if total > 0.0 { own / total } else { 1.0 / entries };
+        let by_demand = if total > 0.0 {
+            own / total
+        } else {
+            1.0 / entries
+        };
         IDLE_SHARE / entries + (1.0 - IDLE_SHARE) * by_demand
     }
 
     fn account(&mut self, now: Instant, tenant: &Name) -> &mut Account {
-        self.accounts.entry(tenant.clone()).or_insert_with(|| Account {
-            tokens: f64::INFINITY,
-            refilled: now,
-            in_flight: 0,
-            retries: MAX_RETRIES,
-            asked: 0,
-            demand: 0.0,
-        })
+        self.accounts
+            .entry(tenant.clone())
+            .or_insert_with(|| Account {
+                tokens: f64::INFINITY,
+                refilled: now,
+                in_flight: 0,
+                retries: MAX_RETRIES,
+                asked: 0,
+                demand: 0.0,
+            })
     }
 }
 
--- /dev/null
+++ b/crates/core/src/raft/replicate.rs
@@ -0,0 +1,306 @@
+//! Replication: appending, matching, committing, applying and compacting entries.
+
+use super::{
+    Body, Command, ELECTION_MAX, Effects, Entry, HEARTBEAT, Instant, MAX_BATCH, REMEMBERED_ROUNDS,
+    Raft, Record, Snapshot, VoterId,
+};
+
+impl Raft {
+    pub(super) fn restore(&mut self, record: Record) {
+        match record {
+            Record::Identity(_) => {}
+            Record::Vote { term, voted_for } => {
+                self.term = term;
+                self.voted_for = voted_for;
+            }
+            Record::Append(entry) => {
+                self.truncate(entry.index);
+                self.log.push(entry);
+            }
+            Record::Snapshot(snapshot) => {
+                self.drop_until(snapshot.index);
+                self.base = *snapshot;
+            }
+        }
+    }
+
+    pub(super) fn last_index(&self) -> u64 {
+        self.base.index + self.log.len() as u64
+    }
+
+    pub(super) fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.entry(index).map(|entry| entry.term)
+    }
+
+    pub(super) fn entry(&self, index: u64) -> Option<&Entry> {
+        let offset = index.checked_sub(self.base.index + 1)?;
+        self.log.get(offset as usize)
+    }
+
+    pub(super) fn last_position(&self) -> (u64, u64) {
+        let index = self.last_index();
+        (self.term_at(index).unwrap_or(0), index)
+    }
+
+    pub(super) fn truncate(&mut self, from: u64) {
+        let keep = from.saturating_sub(self.base.index + 1);
+        self.log.truncate(keep as usize);
+    }
+
+    pub(super) fn drop_until(&mut self, index: u64) {
+        let count = index
+            .saturating_sub(self.base.index)
+            .min(self.log.len() as u64);
+        self.log.drain(..count as usize);
+    }
+
+    pub(super) fn term_committed(&self) -> bool {
+        self.term_at(self.commit) == Some(self.term)
+    }
+
+    pub(super) fn append_own(&mut self, command: Command, fx: &mut Effects) {
+        let entry = Entry {
+            index: self.last_index() + 1,
+            term: self.term,
+            command,
+        };
+        if let Command::Voters(voters) = &entry.command {
+            self.voters.clone_from(voters);
+        }
+        fx.records.push(Record::Append(entry.clone()));
+        self.log.push(entry);
+    }
+
+    pub(super) fn tick_leader(&mut self, now: Instant, fx: &mut Effects) {
+        if !self.acked_since(now, ELECTION_MAX) {
+            self.become_follower(now, self.term, fx);
+            return;
+        }
+        if now < self.heartbeat_at {
+            return;
+        }
+        self.sync_peers(now);
+        self.admit_learner(now, fx);
+        self.broadcast(now, fx);
+        self.advance_commit(fx);
+    }
+
+    pub(super) fn broadcast(&mut self, now: Instant, fx: &mut Effects) {
+        self.heartbeat_at = now + HEARTBEAT;
+        self.round += 1;
+        self.rounds.push_back((self.round, now));
+        if self.rounds.len() > REMEMBERED_ROUNDS {
+            self.rounds.pop_front();
+        }
+        for peer in self.peers.keys().cloned().collect::<Vec<_>>() {
+            self.send_append(&peer, fx);
+        }
+    }
+
+    pub(super) fn send_append(&mut self, peer: &VoterId, fx: &mut Effects) {
+        let Some(progress) = self.peers.get(peer) else {
+            return;
+        };
+        let prev_index = progress.next - 1;
+        let round = self.round;
+        let Some(prev_term) = self
+            .term_at(prev_index)
+            .filter(|_| prev_index >= self.base.index)
+        else {
+            let snapshot = Box::new(self.base.clone());
+            self.send(peer, self.term, Body::Install { snapshot, round }, fx);
+            return;
+        };
+        let offset = (prev_index - self.base.index) as usize;
+        let entries: Vec<Entry> = self.log[offset..].iter().take(MAX_BATCH).cloned().collect();
+        let sent = entries.len() as u64;
+        let body = Body::Append {
+            prev_index,
+            prev_term,
+            entries,
+            commit: self.commit,
+            round,
+        };
+        self.send(peer, self.term, body, fx);
+        if let Some(progress) = self.peers.get_mut(peer) {
+            progress.next += sent;
+        }
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        from: &VoterId,
+        prev: (u64, u64),
+        entries: Vec<Entry>,
+        commit: u64,
+        round: u64,
+        fx: &mut Effects,
+    ) {
+        let (prev_index, prev_term) = prev;
+        let matches = prev_index < self.base.index || self.term_at(prev_index) == Some(prev_term);
+        if !matches {
+            let matched = self.last_index().min(prev_index.saturating_sub(1));
+            let body = Body::AppendReply {
+                ok: false,
+                matched,
+                round,
+            };
+            self.send(from, self.term, body, fx);
+            return;
+        }
+        let matched = prev_index + entries.len() as u64;
+        for entry in entries {
+            self.store(entry, fx);
+        }
+        self.commit = self.commit.max(commit.min(matched));
+        self.current |= commit <= self.commit;
+        self.apply(fx);
+        self.send(
+            from,
+            self.term,
+            Body::AppendReply {
+                ok: true,
+                matched,
+                round,
+            },
+            fx,
+        );
+    }
+
+    /// Stores an entry of the leader, in place of what an earlier leader left there.
+    pub(super) fn store(&mut self, entry: Entry, fx: &mut Effects) {
+        if entry.index <= self.base.index || self.term_at(entry.index) == Some(entry.term) {
+            return;
+        }
+        self.truncate(entry.index);
+        fx.records.push(Record::Append(entry.clone()));
+        self.log.push(entry);
+        self.voters = self.voters_in_log();
+    }
+
+    pub(super) fn on_install(
+        &mut self,
+        from: &VoterId,
+        snapshot: Snapshot,
+        round: u64,
+        fx: &mut Effects,
+    ) {
+        let matched = snapshot.index;
+        if snapshot.index > self.commit {
+            let keep = self.term_at(snapshot.index) == Some(snapshot.term);
+            if keep {
+                self.drop_until(snapshot.index);
+            } else {
+                self.log.clear();
+            }
+            self.commit = snapshot.index;
+            self.applied = snapshot.index;
+            self.state = snapshot.state.clone();
+            self.base = snapshot;
+            self.voters = self.voters_in_log();
+            fx.compact = true;
+        }
+        self.send(
+            from,
+            self.term,
+            Body::AppendReply {
+                ok: true,
+                matched,
+                round,
+            },
+            fx,
+        );
+    }
+
+    pub(super) fn on_append_reply(
+        &mut self,
+        now: Instant,
+        from: &VoterId,
+        ok: bool,
+        matched: u64,
+        round: u64,
+        fx: &mut Effects,
+    ) {
+        let sent = self
+            .rounds
+            .iter()
+            .find(|(number, _)| *number == round)
+            .map(|(_, at)| *at);
+        let last_index = self.last_index();
+        let Some(progress) = self.peers.get_mut(from) else {
+            return;
+        };
+        progress.heard = now;
+        progress.acked = progress.acked.max(sent);
+        if ok {
+            progress.matched = progress.matched.max(matched);
+            progress.next = progress.next.max(progress.matched + 1);
+        } else {
+            progress.next = (matched + 1).clamp(progress.matched + 1, last_index + 1);
+        }
+        let behind = progress.next <= last_index;
+        if behind {
+            self.send_append(from, fx);
+        }
+        self.advance_commit(fx);
+    }
+
+    pub(super) fn advance_commit(&mut self, fx: &mut Effects) {
+        if !self.is_leader() {
+            return;
+        }
+        let held = |index: u64| {
+            self.is_majority(|voter| {
+                *voter == self.me || self.peers.get(voter).is_some_and(|p| p.matched >= index)
+            })
+        };
+        let newest = (self.commit + 1..=self.last_index())
+            .rev()
+            .find(|index| self.term_at(*index) == Some(self.term) && held(*index));
+        if let Some(index) = newest {
+            self.commit = index;
+        }
+        self.current |= self.term_committed();
+        self.apply(fx);
+    }
+
+    pub(super) fn apply(&mut self, fx: &mut Effects) {
+        while self.applied < self.commit {
+            self.applied += 1;
+            let Some(entry) = self.entry(self.applied) else {
+                break;
+            };
+            if let Command::Change(req) = &entry.command {
+                let req = req.clone();
+                let id = req.request_id;
+                fx.outcomes.push((id, self.state.apply(req)));
+            }
+        }
+    }
+
+    /// Replaces all applied entries by a snapshot.
+    pub(super) fn compact(&mut self) {
+        let index = self.applied;
+        let term = self.term_at(index).unwrap_or(self.base.term);
+        let kept = index - self.base.index;
+        let voters =
+            self.log[..kept as usize]
+                .iter()
+                .rev()
+                .find_map(|entry| match &entry.command {
+                    Command::Voters(voters) => Some(voters.clone()),
+                    _ => None,
+                });
+        let voters = voters.unwrap_or_else(|| self.base.voters.clone());
+        self.drop_until(index);
+        self.base = Snapshot {
+            index,
+            term,
+            voters,
+            state: self.state.clone(),
+        };
+    }
+}
--- a/crates/core/src/registry.rs
+++ b/crates/core/src/registry.rs
@@ -80,7 +80,10 @@
 impl Registry {
     /// An empty registry of a process that just started.
     pub fn new(me: NodeRef) -> Self {
-        Self { me, shards: IndexMap::new() }
+        Self {
+            me,
+            shards: IndexMap::new(),
+        }
     }
 
     /// Number of records, over all shards.
@@ -116,8 +119,16 @@
             held.serve(shard.version);
             return None;
         }
-        let collect = Collect { shard: index, version: shard.version, from: shard.before.clone() };
-        if held.collecting.as_ref().is_none_or(|(version, ..)| *version != shard.version) {
+        let collect = Collect {
+            shard: index,
+            version: shard.version,
+            from: shard.before.clone(),
+        };
+        if held
+            .collecting
+            .as_ref()
+            .is_none_or(|(version, ..)| *version != shard.version)
+        {
             held.collecting = Some((shard.version, IndexSet::new(), false));
         }
         Some(collect)
@@ -125,9 +136,16 @@
 
     /// Whether all shards that are placed here are served.
     pub fn is_ready(&self, state: &ClusterState) -> bool {
-        state.shards.iter().enumerate().filter(|(_, shard)| shard.has(&self.me)).all(|(index, shard)| {
-            self.shards.get(&(index as u32)).is_some_and(|held| held.serves == Some(shard.version))
-        })
+        state
+            .shards
+            .iter()
+            .enumerate()
+            .filter(|(_, shard)| shard.has(&self.me))
+            .all(|(index, shard)| {
+                self.shards
+                    .get(&(index as u32))
+                    .is_some_and(|held| held.serves == Some(shard.version))
+            })
     }
 
     /// Answers a later version's question: seals the shard and gives its records.
@@ -135,15 +153,29 @@
         let held = self.shards.entry(index).or_default();
         let served = held.served_last.is_some_and(|last| last + 1 >= version);
         held.seal(version);
-        let records = held.records.iter().map(|(key, record)| (*key, record.clone())).collect();
-        SealedShard { from: self.me.clone(), shard: index, version, served, records }
+        let records = held
+            .records
+            .iter()
+            .map(|(key, record)| (*key, record.clone()))
+            .collect();
+        SealedShard {
+            from: self.me.clone(),
+            shard: index,
+            version,
+            served,
+            records,
+        }
     }
 
     /// Takes in the records of one replica of the version before. Returns whether the shard is now
     /// served.
     pub fn on_sealed(&mut self, sealed: SealedShard, shard: &Shard) -> bool {
-        let Some(held) = self.shards.get_mut(&sealed.shard) else { return false };
-        let Some((version, answered, served)) = &mut held.collecting else { return false };
+        let Some(held) = self.shards.get_mut(&sealed.shard) else {
+            return false;
+        };
+        let Some((version, answered, served)) = &mut held.collecting else {
+            return false;
+        };
         if *version != sealed.version || !shard.before.contains(&sealed.from) {
             return false;
         }
@@ -162,9 +194,13 @@
 
     /// Decides on a claim.
     pub fn claim(&mut self, state: &ClusterState, claim: &Claim) -> ClaimReply {
-        let Some((index, _)) = shard_of(state, claim.key) else { return ClaimReply::Busy };
+        let Some((index, _)) = shard_of(state, claim.key) else {
+            return ClaimReply::Busy;
+        };
         let full = self.len() >= MAX_RECORDS;
-        let Some(held) = self.shards.get_mut(&index) else { return ClaimReply::Busy };
+        let Some(held) = self.shards.get_mut(&index) else {
+            return ClaimReply::Busy;
+        };
         if claim.replica != self.me || held.serves != Some(claim.version) {
             return ClaimReply::Busy;
         }
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -61,26 +61,39 @@
             .into_spec(req.header("Idempotency-Key"), clock::now())
             .map_err(|failure| failed(&failure))?;
         let key = spec.key;
-        Ok(match self.run(spec) {
+        Ok(match self.run(&spec) {
             Ok(results) => http::json(&JobAnswer::new(key, &results)),
             Err(failure) => failed(&failure),
         })
     }
 
-    fn run(&self, spec: JobSpec) -> Answer {
+    fn run(&self, spec: &JobSpec) -> Answer {
         let patience = spec.deadline + GRACE;
         let busy = || {
             let kind = FailureKind::Overloaded;
             let detail = "too many callers wait at this entry";
-            let failure = if spec.keyed { Failure::unknown(kind, detail) } else { Failure::not_run(kind, detail) };
+            let failure = if spec.keyed {
+                Failure::unknown(kind, detail)
+            } else {
+                Failure::not_run(kind, detail)
+            };
             Err(failure.retry_after(1))
         };
-        let Some(caller) = self.callers.enter(self.max_callers) else { return busy() };
-        if self.tx.send_timeout(Event::Submit(spec.clone(), caller.number), QUESTION_TIMEOUT).is_err() {
+        let Some(caller) = self.callers.enter(self.max_callers) else {
+            return busy();
+        };
+        if self
+            .tx
+            .send_timeout(Event::Submit(spec.clone(), caller.number), QUESTION_TIMEOUT)
+            .is_err()
+        {
             return busy();
         }
         caller.rx.recv_timeout(patience).unwrap_or_else(|_| {
-            Err(Failure::unknown(FailureKind::DeadlinePassed, "no answer within the deadline"))
+            Err(Failure::unknown(
+                FailureKind::DeadlinePassed,
+                "no answer within the deadline",
+            ))
         })
     }
 
@@ -111,7 +124,9 @@
     {
         let busy = || http::problem("overloaded", 503, "the entry is busy", None);
         let (tx, rx) = flume::bounded(1);
-        self.tx.send_timeout(event(tx), QUESTION_TIMEOUT).map_err(|_| busy())?;
+        self.tx
+            .send_timeout(event(tx), QUESTION_TIMEOUT)
+            .map_err(|_| busy())?;
         rx.recv_timeout(QUESTION_TIMEOUT).map_err(|_| busy())
     }
 
@@ -122,23 +137,36 @@
             return Err(failed(&failure.retry_after(1)));
         };
         let Some(known) = state.tenants.get(tenant) else {
-            return Err(failed(&Failure::not_run(FailureKind::UnknownTenant, "no such tenant")));
+            return Err(failed(&Failure::not_run(
+                FailureKind::UnknownTenant,
+                "no such tenant",
+            )));
         };
         let hash = http::bearer_hash(req);
         if hash.is_some_and(|hash| known.value.token_hashes.contains(&hash)) {
             return Ok(());
         }
-        Err(failed(&Failure::not_run(FailureKind::Unauthorized, "the token is not one of the tenant's")))
+        Err(failed(&Failure::not_run(
+            FailureKind::Unauthorized,
+            "the token is not one of the tenant's",
+        )))
     }
 
     fn tenant_of_token(&self, req: &Request) -> Result<Name, Response> {
         let hash = http::bearer_hash(req);
         let state = self.cluster.state();
-        let found = state.iter().flat_map(|state| &state.tenants).find(|(_, tenant)| {
-            hash.as_ref().is_some_and(|hash| tenant.value.token_hashes.contains(hash))
-        });
+        let found = state
+            .iter()
+            .flat_map(|state| &state.tenants)
+            .find(|(_, tenant)| {
+                hash.as_ref()
+                    .is_some_and(|hash| tenant.value.token_hashes.contains(hash))
+            });
         found.map(|(name, _)| name.clone()).ok_or_else(|| {
-            failed(&Failure::unknown(FailureKind::Unauthorized, "the token is no tenant's"))
+            failed(&Failure::unknown(
+                FailureKind::Unauthorized,
+                "the token is no tenant's",
+            ))
         })
     }
 }
@@ -147,11 +175,16 @@
 pub type StatusReply = Option<(Option<Name>, JobStatus)>;
 
 fn key_in(path: &str) -> Result<JobKey, Response> {
-    path.strip_prefix('/').and_then(JobKey::parse).ok_or_else(no_such_job)
+    path.strip_prefix('/')
+        .and_then(JobKey::parse)
+        .ok_or_else(no_such_job)
 }
 
 fn no_such_job() -> Response {
-    failed(&Failure::unknown(FailureKind::NoSuchJob, "no such job at this entry"))
+    failed(&Failure::unknown(
+        FailureKind::NoSuchJob,
+        "no such job at this entry",
+    ))
 }
 
 fn failed(failure: &Failure) -> Response {
@@ -160,7 +193,12 @@
         Ran::Unknown => "unknown",
     };
     let kind = failure.kind;
-    let response = http::problem(kind.as_str(), kind.http_status(), &failure.detail, Some(outcome));
+    let response = http::problem(
+        kind.as_str(),
+        kind.http_status(),
+        &failure.detail,
+        Some(outcome),
+    );
     match failure.retry_after_s {
         Some(seconds) => response.with_additional_header("Retry-After", seconds.to_string()),
         None => response,
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -37,13 +37,26 @@
         }
         let number = self.0.next.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = flume::bounded(1);
-        self.0.by_number.lock().unwrap_or_else(PoisonError::into_inner).insert(number, tx);
-        Some(Caller { number, rx, callers: self.clone() })
+        self.0
+            .by_number
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(number, tx);
+        Some(Caller {
+            number,
+            rx,
+            callers: self.clone(),
+        })
     }
 
     /// Answers a caller, if it still waits.
     pub fn answer(&self, number: u64, answer: Answer) {
-        let tx = self.0.by_number.lock().unwrap_or_else(PoisonError::into_inner).swap_remove(&number);
+        let tx = self
+            .0
+            .by_number
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .swap_remove(&number);
         if let Some(tx) = tx {
             let _ = tx.try_send(answer);
         }
@@ -52,7 +65,12 @@
 
 impl Drop for Caller {
     fn drop(&mut self) {
-        let mut by_number = self.callers.0.by_number.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut by_number = self
+            .callers
+            .0
+            .by_number
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         by_number.swap_remove(&self.number);
         self.callers.0.waiting.fetch_sub(1, Ordering::AcqRel);
     }
--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -68,7 +68,12 @@
         println!("{}: ok", args.settings.display());
         return Ok(());
     }
-    let Settings { node, log, entry, policy } = loaded.settings;
+    let Settings {
+        node,
+        log,
+        entry,
+        policy,
+    } = loaded.settings;
     logging::init(&log);
     let (tx, rx) = flume::bounded(EVENT_QUEUE);
     let cluster_tx = tx.clone();
@@ -157,7 +162,10 @@
             if now.mono >= self.next_tick {
                 self.next_tick = now.mono + TICK;
                 self.core.tick(now, &mut out);
-                let placed = self.core.cluster().is_some_and(|cluster| !cluster.shards.is_empty());
+                let placed = self
+                    .core
+                    .cluster()
+                    .is_some_and(|cluster| !cluster.shards.is_empty());
                 self.ready.store(placed && !self.leaving, Ordering::Release);
                 stats::held(&self.core);
             }
@@ -182,7 +190,8 @@
             Event::Link(event) => self.on_link(now, event, out),
             Event::Cluster(ClusterEvent::State(state)) => self.core.on_config(state),
             Event::Cluster(ClusterEvent::Members(members)) => {
-                self.dialer.want(peers_for(&self.cluster.hello.node.name, &members));
+                self.dialer
+                    .want(peers_for(&self.cluster.hello.node.name, &members));
                 self.core.on_members(now, members, out);
             }
             Event::Shutdown => {
@@ -208,7 +217,9 @@
             }
             LinkEvent::Msg(id, msg) => self.on_msg(now, id, msg, out),
             LinkEvent::Down(id) => {
-                let Some(link) = self.links.swap_remove(&id) else { return };
+                let Some(link) = self.links.swap_remove(&id) else {
+                    return;
+                };
                 let name = link.peer.node.name;
                 if self.by_name.get(&name) == Some(&id) {
                     self.by_name.swap_remove(&name);
@@ -219,7 +230,9 @@
     }
 
     fn on_msg(&mut self, now: Now, id: u64, msg: Msg, out: &mut Vec<Action>) {
-        let Some(link) = self.links.get(&id) else { return };
+        let Some(link) = self.links.get(&id) else {
+            return;
+        };
         let node = link.peer.node.clone();
         let newest = self.by_name.get(&node.name) == Some(&id);
         match msg {
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -12,6 +12,7 @@
 use rw_host::program;
 
 fn main() -> ExitCode {
-    let matches = program::command("rw-entry", "Accepts jobs and dispatches their tasks").get_matches();
+    let matches =
+        program::command("rw-entry", "Accepts jobs and dispatches their tasks").get_matches();
     program::exit("rw-entry", duty::run(&program::args(&matches)))
 }
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -73,7 +73,9 @@
     fn of(result: &[u8]) -> Self {
         match str::from_utf8(result) {
             Ok(text) => Self::Text(text.into()),
-            Err(_) => Self::Base64 { base64: result.into() },
+            Err(_) => Self::Base64 {
+                base64: result.into(),
+            },
         }
     }
 }
@@ -88,7 +90,10 @@
 impl JobAnswer {
     /// The answer with these results.
     pub fn new(key: JobKey, results: &[Arc<[u8]>]) -> Self {
-        Self { key: key.to_string(), results: results.iter().map(|result| Bytes::of(result)).collect() }
+        Self {
+            key: key.to_string(),
+            results: results.iter().map(|result| Bytes::of(result)).collect(),
+        }
     }
 }
 
--- a/crates/entry/src/stats.rs
+++ b/crates/entry/src/stats.rs
@@ -8,38 +8,79 @@
 use rw_host::metrics;
 
 static WAIT: LazyLock<HistogramVec> = LazyLock::new(|| {
-    metrics::histograms("rw_task_wait_seconds", "Time of tasks in the queue", &["tenant", "class"])
+    metrics::histograms(
+        "rw_task_wait_seconds",
+        "Time of tasks in the queue",
+        &["tenant", "class"],
+    )
 });
 static RUN: LazyLock<HistogramVec> = LazyLock::new(|| {
-    metrics::histograms("rw_task_run_seconds", "Run time of tasks on workers", &["tenant", "class"])
+    metrics::histograms(
+        "rw_task_run_seconds",
+        "Run time of tasks on workers",
+        &["tenant", "class"],
+    )
 });
 static JOB: LazyLock<HistogramVec> = LazyLock::new(|| {
-    metrics::histograms("rw_job_seconds", "Time from submission to answer", &["tenant", "class"])
+    metrics::histograms(
+        "rw_job_seconds",
+        "Time from submission to answer",
+        &["tenant", "class"],
+    )
 });
 static FAILURES: LazyLock<IntCounterVec> = LazyLock::new(|| {
-    metrics::counters("rw_job_failures_total", "Jobs answered as failed", &["tenant", "type", "outcome"])
+    metrics::counters(
+        "rw_job_failures_total",
+        "Jobs answered as failed",
+        &["tenant", "type", "outcome"],
+    )
 });
 static RETRIES: LazyLock<IntCounter> = LazyLock::new(|| {
-    metrics::counter("rw_task_retries_total", "Dispatches proved not started, dispatched again")
+    metrics::counter(
+        "rw_task_retries_total",
+        "Dispatches proved not started, dispatched again",
+    )
 });
 static DROPPED: LazyLock<IntCounterVec> = LazyLock::new(|| {
-    metrics::counters("rw_dropped_results_total", "Late, doubled or mismatched messages", &["why"])
+    metrics::counters(
+        "rw_dropped_results_total",
+        "Late, doubled or mismatched messages",
+        &["why"],
+    )
 });
 
 /// Takes a note of the core.
 pub fn note(note: &Note) {
     match note {
-        Note::Started { tenant, class, wait } => {
-            WAIT.with_label_values(&[&**tenant, class.as_str()]).observe(wait.as_secs_f64());
+        Note::Started {
+            tenant,
+            class,
+            wait,
+        } => {
+            WAIT.with_label_values(&[&**tenant, class.as_str()])
+                .observe(wait.as_secs_f64());
         }
         Note::TaskEnded { tenant, class, run } => {
-            RUN.with_label_values(&[&**tenant, class.as_str()]).observe(run.as_secs_f64());
+            RUN.with_label_values(&[&**tenant, class.as_str()])
+                .observe(run.as_secs_f64());
         }
-        Note::JobEnded { tenant, class, time, failure } => {
-            JOB.with_label_values(&[&**tenant, class.as_str()]).observe(time.as_secs_f64());
+        Note::JobEnded {
+            tenant,
+            class,
+            time,
+            failure,
+        } => {
+            JOB.with_label_values(&[&**tenant, class.as_str()])
+                .observe(time.as_secs_f64());
             if let Some((kind, ran)) = failure {
-                let outcome = if *ran == Ran::NotRun { "not-run" } else { "unknown" };
-                FAILURES.with_label_values(&[&**tenant, kind.as_str(), outcome]).inc();
+                let outcome = if *ran == Ran::NotRun {
+                    "not-run"
+                } else {
+                    "unknown"
+                };
+                FAILURES
+                    .with_label_values(&[&**tenant, kind.as_str(), outcome])
+                    .inc();
             }
         }
         Note::Retried => RETRIES.inc(),
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -80,8 +80,15 @@
 impl ClusterSetup {
     /// Who this process is, on links.
     pub fn hello(&self) -> Hello {
-        let node = NodeRef { name: self.node.name.clone(), incarnation: self.incarnation };
-        Hello { node, role: self.role, domain: self.node.domain.clone() }
+        let node = NodeRef {
+            name: self.node.name.clone(),
+            incarnation: self.incarnation,
+        };
+        Hello {
+            node,
+            role: self.role,
+            domain: self.node.domain.clone(),
+        }
     }
 
     fn member(&self) -> Member {
@@ -108,7 +115,11 @@
         let (fetch_tx, fetch_rx) = flume::bounded(1);
         let shared = Arc::new(Mutex::new(Shared::default()));
         let hello = self.hello();
-        let cluster = Cluster { hello: hello.clone(), shared: shared.clone(), tx };
+        let cluster = Cluster {
+            hello: hello.clone(),
+            shared: shared.clone(),
+            tx,
+        };
         let members = Members::new(self.member(), self.node.seeds.clone(), fastrand::Rng::new());
         let duty = Duty {
             members,
@@ -141,7 +152,11 @@
     pub fn set_state(&self, state: Arc<ClusterState>) {
         let revision = state.revision;
         let mut shared = self.lock();
-        if shared.state.as_ref().is_some_and(|present| present.revision >= revision) {
+        if shared
+            .state
+            .as_ref()
+            .is_some_and(|present| present.revision >= revision)
+        {
             return;
         }
         shared.state = Some(state);
@@ -172,10 +187,20 @@
     /// Answers another process that asks for the configuration.
     pub fn answer(&self, link: &Link, revision: u64) {
         let shared = self.lock();
-        let newer = shared.state.clone().filter(|state| state.revision > revision);
-        let members = if revision == 0 { shared.members.clone() } else { Vec::new() };
+        let newer = shared
+            .state
+            .clone()
+            .filter(|state| state.revision > revision);
+        let members = if revision == 0 {
+            shared.members.clone()
+        } else {
+            Vec::new()
+        };
         drop(shared);
-        link.send(Msg::Told(Told::Sync { state: newer, members }));
+        link.send(Msg::Told(Told::Sync {
+            state: newer,
+            members,
+        }));
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Shared> {
@@ -247,7 +272,9 @@
 
     fn send(&self, out: Vec<Outgoing>) {
         for (to, gossip) in out {
-            let Ok(buf) = self.key.seal_datagram(&gossip) else { continue };
+            let Ok(buf) = self.key.seal_datagram(&gossip) else {
+                continue;
+            };
             metrics::DATAGRAMS.inc();
             metrics::DATAGRAM_BYTES.inc_by(buf.len() as u64);
             let _ = self.socket.send_to(&buf, to);
@@ -260,7 +287,11 @@
         }
         self.generation = self.members.generation();
         let list = self.members.list();
-        self.shared.lock().unwrap_or_else(PoisonError::into_inner).members.clone_from(&list);
+        self.shared
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .members
+            .clone_from(&list);
         (self.sink)(ClusterEvent::Members(list));
     }
 }
--- a/crates/host/src/dial.rs
+++ b/crates/host/src/dial.rs
@@ -26,7 +26,12 @@
 impl Dialer {
     /// A dialer without members.
     pub fn new(cluster: Cluster, linker: Linker) -> Self {
-        Self { cluster, linker, wanted: Arc::default(), dialled: Arc::default() }
+        Self {
+            cluster,
+            linker,
+            wanted: Arc::default(),
+            dialled: Arc::default(),
+        }
     }
 
     /// Sets the members to keep links to.
@@ -34,7 +39,12 @@
         let mut wanted = self.wanted.lock().unwrap_or_else(PoisonError::into_inner);
         *wanted = names.into_iter().collect();
         let mut dialled = self.dialled.lock().unwrap_or_else(PoisonError::into_inner);
-        for name in wanted.iter().filter(|name| !dialled.contains(*name)).cloned().collect::<Vec<_>>() {
+        for name in wanted
+            .iter()
+            .filter(|name| !dialled.contains(*name))
+            .cloned()
+            .collect::<Vec<_>>()
+        {
             dialled.insert(name.clone());
             let dialer = self.clone();
             spawn("dial", move || dialer.keep(&name));
@@ -47,7 +57,10 @@
         if wanted.contains(name) {
             return false;
         }
-        self.dialled.lock().unwrap_or_else(PoisonError::into_inner).swap_remove(name)
+        self.dialled
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .swap_remove(name)
     }
 
     fn keep(&self, name: &Name) {
--- a/crates/host/src/http.rs
+++ b/crates/host/src/http.rs
@@ -73,7 +73,10 @@
         body.clear();
     }
     let len = body.len();
-    let guarded = GuardedBody { body: Cursor::new(body), _guard: guard };
+    let guarded = GuardedBody {
+        body: Cursor::new(body),
+        _guard: guard,
+    };
     response.data = ResponseBody::from_reader_and_size(guarded, len);
     response
 }
@@ -106,7 +109,12 @@
 
 /// A response with a problem document.
 pub fn problem(kind: &str, status: u16, detail: &str, outcome: Option<&str>) -> Response {
-    let problem = Problem { kind: format!("urn:redwingwick:{kind}"), status, detail, outcome };
+    let problem = Problem {
+        kind: format!("urn:redwingwick:{kind}"),
+        status,
+        detail,
+        outcome,
+    };
     let text = serde_json::to_string(&problem).unwrap_or_default();
     Response::from_data("application/problem+json", text).with_status_code(status)
 }
@@ -124,17 +132,37 @@
 
 /// Reads a body of at most `max` bytes.
 pub fn body(req: &Request, max: usize) -> Result<Vec<u8>, Response> {
-    let too_large = || problem("too-large", 413, &format!("the body has more than {max} bytes"), Some("not-run"));
-    let announced = req.header("Content-Length").and_then(|value| value.parse::<usize>().ok());
+    let too_large = || {
+        problem(
+            "too-large",
+            413,
+            &format!("the body has more than {max} bytes"),
+            Some("not-run"),
+        )
+    };
+    let announced = req
+        .header("Content-Length")
+        .and_then(|value| value.parse::<usize>().ok());
     if announced.is_some_and(|len| len > max) {
         return Err(too_large());
     }
     let mut buf = Vec::new();
-    let Some(data) = req.data() else { return Ok(buf) };
+    let Some(data) = req.data() else {
+        return Ok(buf);
+    };
     if data.take(max as u64 + 1).read_to_end(&mut buf).is_err() {
-        return Err(problem("malformed", 400, "the body was cut off", Some("not-run")));
+        return Err(problem(
+            "malformed",
+            400,
+            "the body was cut off",
+            Some("not-run"),
+        ));
+    }
+    if buf.len() > max {
+        Err(too_large())
+    } else {
+        Ok(buf)
     }
-    if buf.len() > max { Err(too_large()) } else { Ok(buf) }
 }
 
 /// Reads a JSON body of at most `max` bytes.
--- a/crates/host/src/link.rs
+++ b/crates/host/src/link.rs
@@ -64,7 +64,11 @@
     E: Into<LinkFault>,
 {
     fn at(self, step: &'static str, peer: SocketAddr) -> Result<T, LinkError> {
-        self.map_err(|e| LinkError { step, peer, source: e.into() })
+        self.map_err(|e| LinkError {
+            step,
+            peer,
+            source: e.into(),
+        })
     }
 }
 
@@ -171,7 +175,13 @@
         let writer = wire.writer().at("open", wire.peer)?;
         spawn("link-write", move || writer.run(&rx));
         let stream = Arc::new(wire.reader.get_ref().try_clone().at("open", wire.peer)?);
-        (self.sink)(LinkEvent::Up(Link { id, peer, addr: wire.peer, tx, stream }));
+        (self.sink)(LinkEvent::Up(Link {
+            id,
+            peer,
+            addr: wire.peer,
+            tx,
+            stream,
+        }));
         let end = self.read_all(id, &mut wire);
         (self.sink)(LinkEvent::Down(id));
         let _ = wire.reader.get_ref().shutdown(Shutdown::Both);
@@ -190,7 +200,10 @@
 pub fn ask(addr: SocketAddr, key: &ClusterKey, hello: &Hello, ask: Ask) -> Result<Told, LinkError> {
     let stream = TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT).at("connect", addr)?;
     // A question must not pass for the asker's lasting link.
-    let hello = Hello { role: Role::Tool, ..hello.clone() };
+    let hello = Hello {
+        role: Role::Tool,
+        ..hello.clone()
+    };
     let (mut wire, _) = Wire::open(stream, key, &hello, true)?;
     wire.write(&Msg::Ask(ask)).at("ask", addr)?;
     loop {
@@ -222,16 +235,30 @@
         let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
         let peer = stream.peer_addr().at("accept", unknown)?;
         stream.set_nodelay(true).at("open", peer)?;
-        stream.set_read_timeout(Some(SILENCE_LIMIT)).at("open", peer)?;
-        stream.set_write_timeout(Some(SILENCE_LIMIT)).at("open", peer)?;
+        stream
+            .set_read_timeout(Some(SILENCE_LIMIT))
+            .at("open", peer)?;
+        stream
+            .set_write_timeout(Some(SILENCE_LIMIT))
+            .at("open", peer)?;
         let mine: [u8; NONCE_BYTES] = std::array::from_fn(|_| fastrand::u8(..));
         let mut theirs = [0; NONCE_BYTES];
         (&stream).write_all(&mine).at("greet", peer)?;
         (&stream).read_exact(&mut theirs).at("greet", peer)?;
-        let (client, server) = if is_client { (&mine, &theirs) } else { (&theirs, &mine) };
+        let (client, server) = if is_client {
+            (&mine, &theirs)
+        } else {
+            (&theirs, &mine)
+        };
         let (sealer, opener) = key.directions(client, server, is_client);
         let reader = BufReader::with_capacity(BATCH_BYTES, stream);
-        let mut wire = Self { peer, reader, opener, sealer: Some(sealer), buf: Vec::new() };
+        let mut wire = Self {
+            peer,
+            reader,
+            opener,
+            sealer: Some(sealer),
+            buf: Vec::new(),
+        };
         wire.write(&Msg::Hello(hello.clone())).at("greet", peer)?;
         match wire.read().at("greet", peer)? {
             Msg::Hello(hello) => Ok((wire, hello)),
@@ -240,7 +267,9 @@
     }
 
     fn write(&mut self, msg: &Msg) -> Result<(), LinkFault> {
-        let Some(sealer) = &mut self.sealer else { return Ok(()) };
+        let Some(sealer) = &mut self.sealer else {
+            return Ok(());
+        };
         let buf = sealer.seal(msg, Vec::new())?;
         metrics::sent(msg);
         self.reader.get_mut().write_all(&buf)?;
@@ -262,7 +291,11 @@
     fn writer(&mut self) -> io::Result<Writer> {
         let stream = self.reader.get_ref().try_clone()?;
         let sealer = self.sealer.take().ok_or(io::ErrorKind::Other)?;
-        Ok(Writer { stream, sealer, buf: Vec::new() })
+        Ok(Writer {
+            stream,
+            sealer,
+            buf: Vec::new(),
+        })
     }
 }
 
@@ -312,7 +345,10 @@
 where
     F: FnOnce() + Send + 'static,
 {
-    let started = thread::Builder::new().name(duty.into()).stack_size(512 * 1024).spawn(f);
+    let started = thread::Builder::new()
+        .name(duty.into())
+        .stack_size(512 * 1024)
+        .spawn(f);
     if let Err(e) = started {
         log::error!(duty = duty, error:% = e; "thread cannot be started");
     }
--- a/crates/host/src/logging.rs
+++ b/crates/host/src/logging.rs
@@ -20,7 +20,11 @@
     let dispatch = fern::Dispatch::new()
         .level(level)
         .format(move |out, message, record| {
-            let line = if json { json_line(message, record) } else { text_line(message, record) };
+            let line = if json {
+                json_line(message, record)
+            } else {
+                text_line(message, record)
+            };
             out.finish(format_args!("{line}"));
         })
         .chain(std::io::stderr());
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -9,11 +9,17 @@
 use rw_core::msg::Msg;
 
 /// Buckets for waits and run times, in seconds.
-pub const SECONDS_BUCKETS: [f64; 14] =
-    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
+pub const SECONDS_BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
 
-static SENT: LazyLock<IntCounterVec> =
-    LazyLock::new(|| counters("rw_messages_sent_total", "Messages sent on links", &["kind"]));
+static SENT: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counters(
+        "rw_messages_sent_total",
+        "Messages sent on links",
+        &["kind"],
+    )
+});
 
 /// Bytes sent on links.
 pub static SENT_BYTES: LazyLock<IntCounter> =
@@ -74,7 +80,9 @@
 }
 
 fn register(collector: Box<dyn prometheus::core::Collector>) {
-    prometheus::default_registry().register(collector).expect("metric is registered once");
+    prometheus::default_registry()
+        .register(collector)
+        .expect("metric is registered once");
 }
 
 /// All metrics in the text format.
--- a/crates/host/src/program.rs
+++ b/crates/host/src/program.rs
@@ -49,7 +49,10 @@
 /// Reads the shared arguments.
 pub fn args(matches: &clap::ArgMatches) -> Args {
     Args {
-        settings: matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default(),
+        settings: matches
+            .get_one::<PathBuf>("settings")
+            .cloned()
+            .unwrap_or_default(),
         check: matches.get_flag("check"),
     }
 }
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -106,44 +106,61 @@
 where
     T: DeserializeOwned,
 {
-    let text = fs::read_to_string(path)
-        .map_err(|source| SettingsError::Read { path: path.into(), source })?;
+    let text = fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        path: path.into(),
+        source,
+    })?;
     let settings = toml::from_str(&text).map_err(|e| line_error(path, &text, &e))?;
-    Ok(Loaded { path: path.into(), settings })
+    Ok(Loaded {
+        path: path.into(),
+        settings,
+    })
 }
 
 fn line_error(path: &Path, text: &str, e: &toml::de::Error) -> SettingsError {
     let start = e.span().map_or(0, |span| span.start);
     let line = text[..start.min(text.len())].lines().count().max(1);
     let reason = e.message().replace('\n', " ");
-    SettingsError::Line { path: path.into(), line, reason }
+    SettingsError::Line {
+        path: path.into(),
+        line,
+        reason,
+    }
 }
 
 impl<T> Loaded<T> {
     /// An error in one field of this file.
-    pub fn field(&self, field: &'static str, reason: impl ToString) -> SettingsError {
-        SettingsError::Field { path: self.path.clone(), field, reason: reason.to_string() }
+    pub fn field(&self, field: &'static str, reason: &dyn std::fmt::Display) -> SettingsError {
+        SettingsError::Field {
+            path: self.path.clone(),
+            field,
+            reason: reason.to_string(),
+        }
     }
 
     /// Checks a node's settings and binds its sockets.
     pub fn bind(&self, node: &NodeSettings) -> Result<Bound, SettingsError> {
         self.check_node(node)?;
-        let link = TcpListener::bind(node.link).map_err(|e| self.field("node.link", e))?;
-        let gossip = UdpSocket::bind(node.gossip).map_err(|e| self.field("node.gossip", e))?;
-        let http = TcpListener::bind(node.http).map_err(|e| self.field("node.http", e))?;
+        let link = TcpListener::bind(node.link).map_err(|e| self.field("node.link", &e))?;
+        let gossip = UdpSocket::bind(node.gossip).map_err(|e| self.field("node.gossip", &e))?;
+        let http = TcpListener::bind(node.http).map_err(|e| self.field("node.http", &e))?;
         drop(http);
-        Ok(Bound { link, gossip, key: ClusterKey::new(&node.cluster_secret) })
+        Ok(Bound {
+            link,
+            gossip,
+            key: ClusterKey::new(&node.cluster_secret),
+        })
     }
 
     /// Checks what all daemons share.
     pub fn check_node(&self, node: &NodeSettings) -> Result<(), SettingsError> {
         if node.cluster_secret.len() < MIN_SECRET_BYTES {
             let reason = format!("must have at least {MIN_SECRET_BYTES} bytes");
-            return Err(self.field("node.cluster_secret", reason));
+            return Err(self.field("node.cluster_secret", &reason));
         }
         for (field, value) in [("node.name", &node.name), ("node.domain", &node.domain)] {
             if value.is_empty() {
-                return Err(self.field(field, "must not be empty"));
+                return Err(self.field(field, &"must not be empty"));
             }
         }
         Ok(())
