Property test of the replicated log; a follower is current only after its leader's term committed

Cause: a restarted follower took a new leader's lower commit index for caught up and could show an older configuration than before (found by the property test, sequence in the test's first run). Change: current only when the leader committed in its own term. Ruled out: frames from before a restart cannot arrive, since frames are bound to their connection.

--- a/crates/agent/src/duty.rs
+++ b/crates/agent/src/duty.rs
@@ -282,9 +282,10 @@
         let cluster = self.core.cluster().clone();
         self.ready
             .store(cluster.revision > 0 && !self.leaving, Ordering::Release);
-        if cluster.revision > self.ready_for && self.core.registry().is_ready(&cluster) {
-            self.ready_for = cluster.revision;
-            self.cluster.set_ready_for(cluster.revision);
+        let ready_for = self.core.ready_for();
+        if ready_for > self.ready_for {
+            self.ready_for = ready_for;
+            self.cluster.set_ready_for(ready_for);
         }
         stats::held(&self.core);
     }
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -235,6 +235,11 @@
         &mut self.registry
     }
 
+    /// The configuration revision up to which all shards placed here are served.
+    pub fn ready_for(&self) -> u64 {
+        if self.registry.is_ready(&self.cluster) { self.cluster.revision } else { 0 }
+    }
+
     /// The configuration in force here.
     pub fn cluster(&self) -> &Arc<ClusterState> {
         &self.cluster
--- a/crates/core/src/raft.rs
+++ b/crates/core/src/raft.rs
@@ -211,6 +211,7 @@
     round: u64,
     rounds: VecDeque<(u64, Instant)>,
     current: bool,
+    compact_after: usize,
     /// A restarted server forgot which leader it heard, so it votes for none at first.
     votes_from: Instant,
     rng: Rng,
@@ -243,6 +244,7 @@
             round: 0,
             rounds: VecDeque::new(),
             current: false,
+            compact_after: COMPACT_AFTER,
             votes_from: now + ELECTION_MIN,
             rng,
         };
@@ -257,6 +259,11 @@
         raft
     }
 
+    /// Sets how many applied entries are kept before a snapshot replaces them.
+    pub fn set_compact_after(&mut self, entries: usize) {
+        self.compact_after = entries;
+    }
+
     /// The first records of a new cluster whose only voter is `me`.
     pub fn first_records(me: &VoterId) -> Vec<Record> {
         let first = Entry {
@@ -346,7 +353,7 @@
             _ if now >= self.election_at => self.on_election_timeout(now, fx),
             _ => {}
         }
-        if self.log.len() > COMPACT_AFTER && self.applied > self.base.index {
+        if self.log.len() > self.compact_after && self.applied > self.base.index {
             self.compact();
             fx.compact = true;
         }
--- a/crates/core/src/raft/replicate.rs
+++ b/crates/core/src/raft/replicate.rs
@@ -156,7 +156,8 @@
             self.store(entry, fx);
         }
         self.commit = self.commit.max(commit.min(matched));
-        self.current |= commit <= self.commit;
+        // An earlier leader may have committed more until this one commits in its own term.
+        self.current |= commit <= self.commit && self.term_committed();
         self.apply(fx);
         self.send(
             from,
--- /dev/null
+++ b/crates/core/tests/support/tasks.rs
@@ -0,0 +1,595 @@
+//! A small world of entries, agents and backend servers, driven step by step without I/O.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use indexmap::{IndexMap, IndexSet};
+use rw_core::agent::{self, Agent, Announcement, Run, RunEnd};
+use rw_core::answer::{Answer, Ran};
+use rw_core::config::{Change, ClusterState, Service, Tenant};
+use rw_core::dispatcher::{self, Dispatcher, Now, Policy};
+use rw_core::ids::{JobKey, Name, NodeRef, WallMs};
+use rw_core::job::{Class, JobSpec, Needs, TaskSpec};
+use rw_core::members::{Member, MemberState};
+use rw_core::msg::{Peer, Role, TaskResult, ToAgent, ToEntry};
+use rw_core::placement;
+use rw_core::registry::SealedShard;
+
+pub const ENTRIES: usize = 3;
+pub const AGENTS: usize = 5;
+const SLOTS: u32 = 2;
+/// Wall clocks differ by up to this, which is within the stated tolerance.
+const SKEW_MS: [u64; ENTRIES + AGENTS] = [0, 2000, 1000, 0, 1500, 2000, 500, 1000];
+
+/// A message on its way.
+enum Packet {
+    ToAgent { entry: usize, agent: usize, session: u64, msg: ToAgent },
+    ToEntry { entry: usize, agent: usize, session: u64, msg: ToEntry },
+    Peer { from: NodeRef, to: usize, msg: Peer },
+    Seal { asker: NodeRef, of: NodeRef, shard: u32, version: u64 },
+    Sealed { to: NodeRef, sealed: SealedShard },
+}
+
+struct Process<C> {
+    core: Option<C>,
+    node: NodeRef,
+    frozen: bool,
+    /// Link sessions that this side knows of, by the other side's index.
+    links: IndexMap<usize, u64>,
+}
+
+pub struct World {
+    start: Instant,
+    elapsed: Duration,
+    entries: Vec<Process<Dispatcher>>,
+    agents: Vec<Process<Agent>>,
+    sessions: IndexMap<(usize, usize), u64>,
+    next_session: u64,
+    wire: VecDeque<Packet>,
+    running: Vec<(usize, NodeRef, Run)>,
+    cluster: Arc<ClusterState>,
+    /// The judge: starts seen by backend servers.
+    starts: IndexMap<(JobKey, u16), u32>,
+    /// Callers that wait: number to entry and job.
+    callers: IndexMap<u64, (usize, JobSpec)>,
+    /// Keys whose every submission so far was refused as not run.
+    refused: IndexSet<JobKey>,
+    jobs: Vec<JobSpec>,
+    next_caller: u64,
+    /// Whole answers so far.
+    pub answered: usize,
+}
+
+impl World {
+    pub fn new() -> Self {
+        let mut cluster = ClusterState::default();
+        let tenant = Tenant { weight: 1, rate: 0, concurrency: 0, token_hashes: Vec::new() };
+        cluster.apply(0, Change::PutService { name: "s".into(), service: Service::default() });
+        cluster.apply(0, Change::PutTenant { name: "t".into(), tenant });
+        let mut world = Self {
+            start: Instant::now(),
+            elapsed: Duration::from_secs(3600),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            sessions: IndexMap::new(),
+            next_session: 1,
+            wire: VecDeque::new(),
+            running: Vec::new(),
+            cluster: Arc::new(cluster),
+            starts: IndexMap::new(),
+            callers: IndexMap::new(),
+            refused: IndexSet::new(),
+            jobs: Vec::new(),
+            next_caller: 1,
+            answered: 0,
+        };
+        for i in 0..ENTRIES {
+            world.entries.push(Process::new(format!("e{i}")));
+            world.restart_entry(i);
+        }
+        for i in 0..AGENTS {
+            world.agents.push(Process::new(format!("w{i}")));
+            world.restart_agent(i);
+        }
+        // A cluster in use: linked, placed, and older than the clock tolerance.
+        world.place();
+        world.settle();
+        world.pass(Duration::from_secs(20));
+        world.settle();
+        world
+    }
+
+    fn mono(&self) -> Instant {
+        self.start + self.elapsed
+    }
+
+    fn now_at(&self, node: usize) -> Now {
+        let ms = 1_700_000_000_000 + self.elapsed.as_millis() as u64 + SKEW_MS[node];
+        Now { mono: self.mono(), wall: WallMs(ms) }
+    }
+
+    fn members(&self, doubted: u8) -> Vec<Member> {
+        let health = |up: bool, bit: usize| {
+            if up && doubted & (1 << bit) == 0 { MemberState::Alive } else { MemberState::Dead }
+        };
+        let entries = self.entries.iter().enumerate().map(|(i, p)| {
+            member(&p.node, Role::Entry, i, health(p.core.is_some(), i), 0)
+        });
+        let agents = self.agents.iter().enumerate().map(|(i, p)| {
+            let ready = p.core.as_ref().map_or(0, Agent::ready_for);
+            member(&p.node, Role::Agent, i % 3, health(p.core.is_some(), ENTRIES + i), ready)
+        });
+        entries.chain(agents).collect()
+    }
+
+    pub fn restart_entry(&mut self, i: usize) {
+        let now = self.now_at(i);
+        let seed = self.next_session;
+        let p = &mut self.entries[i];
+        p.renew(now.wall);
+        p.core = Some(Dispatcher::new(p.node.clone(), Policy::default(), now.mono, Rng::with_seed(seed)));
+        self.callers.retain(|_, (entry, _)| *entry != i);
+        self.config_entry(i);
+    }
+
+    pub fn restart_agent(&mut self, i: usize) {
+        let now = self.now_at(ENTRIES + i);
+        let p = &mut self.agents[i];
+        p.renew(now.wall);
+        p.core = Some(Agent::new(p.node.clone(), now.mono));
+        self.renew_backend(i);
+        self.config_agent(i);
+    }
+
+    pub fn restart_entry_if_down(&mut self, i: usize) {
+        if self.entries[i].core.is_none() {
+            self.restart_entry(i);
+        }
+    }
+
+    pub fn restart_agent_if_down(&mut self, i: usize) {
+        if self.agents[i].core.is_none() {
+            self.restart_agent(i);
+        }
+    }
+
+    pub fn crash_entry(&mut self, i: usize) {
+        self.entries[i].core = None;
+        self.sessions.retain(|(entry, _), _| *entry != i);
+    }
+
+    pub fn crash_agent(&mut self, i: usize) {
+        self.agents[i].core = None;
+        self.sessions.retain(|(_, agent), _| *agent != i);
+    }
+
+    pub fn freeze(&mut self, node: usize, frozen: bool) {
+        if node < ENTRIES {
+            self.entries[node].frozen = frozen;
+        } else {
+            self.agents[node - ENTRIES].frozen = frozen;
+        }
+    }
+
+    /// Ends a link, or makes a new one; both sides learn of it when they look.
+    pub fn relink(&mut self, entry: usize, agent: usize) {
+        let both = self.entries[entry].core.is_some() && self.agents[agent].core.is_some();
+        if self.sessions.swap_remove(&(entry, agent)).is_none() && both {
+            self.next_session += 1;
+            self.sessions.insert((entry, agent), self.next_session);
+        }
+    }
+
+    /// Makes a missing link.
+    fn link(&mut self, entry: usize, agent: usize) {
+        if !self.sessions.contains_key(&(entry, agent)) {
+            self.relink(entry, agent);
+        }
+    }
+
+    pub fn look_entry(&mut self, i: usize) {
+        for agent in 0..AGENTS {
+            let truth = self.sessions.get(&(i, agent)).copied();
+            let node = self.agents[agent].node.clone();
+            if self.entries[i].links.get(&agent).copied() == truth {
+                continue;
+            }
+            let now = self.now_at(i);
+            self.entry(i, |core, links, out| {
+                if links.swap_remove(&agent).is_some() {
+                    core.agent_down(&node.name);
+                }
+                if let Some(session) = truth {
+                    links.insert(agent, session);
+                    core.agent_up(now, node, out);
+                }
+            });
+        }
+    }
+
+    pub fn look_agent(&mut self, i: usize) {
+        for entry in 0..ENTRIES {
+            let truth = self.sessions.get(&(entry, i)).copied();
+            if self.agents[i].links.get(&entry).copied() == truth {
+                continue;
+            }
+            let name: Name = format!("e{entry}").into();
+            self.agent(i, |core, links, out| {
+                if links.swap_remove(&entry).is_some() {
+                    core.link_down(&name, out);
+                }
+                if let Some(session) = truth {
+                    links.insert(entry, session);
+                    core.link_up(&name, out);
+                }
+            });
+        }
+    }
+
+    pub fn config_entry(&mut self, i: usize) {
+        let (cluster, members, now) = (self.cluster.clone(), self.members(0), self.now_at(i));
+        self.entry(i, |core, _, out| {
+            core.on_config(cluster);
+            core.on_members(now, members, out);
+        });
+    }
+
+    /// An entry hears that some living processes are dead.
+    pub fn mislead_entry(&mut self, i: usize, doubted: u8) {
+        let (members, now) = (self.members(doubted), self.now_at(i));
+        self.entry(i, |core, _, out| core.on_members(now, members, out));
+    }
+
+    pub fn config_agent(&mut self, i: usize) {
+        let cluster = self.cluster.clone();
+        self.agent(i, |core, _, out| core.on_config(cluster, out));
+    }
+
+    pub fn renew_backend(&mut self, i: usize) {
+        let announced = Announcement {
+            name: "b".into(),
+            url: "http://b".into(),
+            services: vec!["s".into()],
+            slots: SLOTS,
+            connections: 64,
+            size: Needs::default(),
+            leaving: false,
+        };
+        let mono = self.mono();
+        self.agent(i, |core, _, out| core.announce(mono, announced, out));
+    }
+
+    /// Control moves shards, by a member list in which some living processes may be dead.
+    pub fn place_doubting(&mut self, doubted: u8) {
+        let members = self.members(doubted);
+        let wall = self.now_at(0).wall;
+        if let Some(change) = placement::plan(&self.cluster, &members, wall) {
+            let mut cluster = (*self.cluster).clone();
+            let base = cluster.revision;
+            cluster.apply(base, change);
+            self.cluster = Arc::new(cluster);
+        }
+    }
+
+    pub fn place(&mut self) {
+        self.place_doubting(0);
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        self.elapsed += time;
+        for i in 0..ENTRIES {
+            let now = self.now_at(i);
+            self.entry(i, |core, _, out| core.tick(now, out));
+        }
+        for i in 0..AGENTS {
+            let now = self.now_at(ENTRIES + i);
+            self.agent(i, |core, _, out| core.tick(now.mono, now.wall, out));
+        }
+    }
+
+    /// A caller submits a new job.
+    pub fn submit(&mut self, entry: usize, tasks: usize, random: u8) {
+        let now = self.now_at(entry);
+        let key = JobKey::new(now.wall, u128::from(random) << 64 | self.jobs.len() as u128);
+        let task = |index| TaskSpec {
+            payload: format!("{key} {index}").into_bytes().into(),
+            declared: None,
+        };
+        let spec = JobSpec {
+            key,
+            keyed: true,
+            tenant: "t".into(),
+            service: "s".into(),
+            class: Class::Short,
+            deadline: Duration::from_secs(8),
+            needs: Needs::default(),
+            tasks: (0..tasks).map(task).collect(),
+        };
+        self.jobs.push(spec.clone());
+        self.ask(entry, spec);
+    }
+
+    /// A caller submits an earlier job again, perhaps elsewhere.
+    pub fn resubmit(&mut self, entry: usize, job: u8) {
+        if !self.jobs.is_empty() {
+            let recent = self.jobs.len().saturating_sub(6);
+            let at = recent + job as usize % (self.jobs.len() - recent);
+            let spec = self.jobs[at].clone();
+            self.ask(entry, spec);
+        }
+    }
+
+    fn ask(&mut self, entry: usize, spec: JobSpec) {
+        let process = &self.entries[entry];
+        if process.core.is_none() || process.frozen {
+            return;
+        }
+        self.refused.swap_remove(&spec.key);
+        let caller = self.next_caller;
+        self.next_caller += 1;
+        self.callers.insert(caller, (entry, spec.clone()));
+        let now = self.now_at(entry);
+        self.entry(entry, |core, _, out| core.submit(now, spec, caller, out));
+    }
+
+    pub fn cancel(&mut self, entry: usize, job: u8) {
+        if let Some(spec) = self.jobs.iter().rev().nth(job as usize % 4) {
+            let (key, now) = (spec.key, self.now_at(entry));
+            self.entry(entry, |core, _, out| {
+                core.cancel(now, key, &"t".into(), out);
+            });
+        }
+    }
+
+    /// One of the running tasks ends.
+    pub fn end_run(&mut self, at: usize, fails: bool) {
+        if self.running.is_empty() {
+            return;
+        }
+        let at = at % self.running.len();
+        let (agent, node, run) = &self.running[at];
+        if self.agents[*agent].frozen {
+            return;
+        }
+        let (agent, node, run) = (*agent, node.clone(), run.clone());
+        self.running.swap_remove(at);
+        if self.agents[agent].node != node || self.agents[agent].core.is_none() {
+            return;
+        }
+        let result = if fails {
+            TaskResult::Failed("told to".into())
+        } else {
+            TaskResult::Done(run.payload.clone())
+        };
+        self.agent(agent, |core, _, out| {
+            core.on_end(&run, RunEnd::Ended(result), Duration::from_millis(100), out);
+        });
+    }
+
+    pub fn deliver(&mut self, at: usize, keep: bool) {
+        if self.wire.is_empty() {
+            return;
+        }
+        let at = at % self.wire.len();
+        let packet = if keep { self.wire[at].copy() } else { self.wire.remove(at) };
+        let Some(packet) = packet else { return };
+        match packet {
+            Packet::ToAgent { entry, agent, session, msg } => {
+                if self.agents[agent].links.get(&entry) == Some(&session) {
+                    let (name, wall) = (format!("e{entry}").into(), self.now_at(ENTRIES + agent).wall);
+                    self.agent(agent, |core, _, out| core.on_msg(wall, &name, msg, out));
+                }
+            }
+            Packet::ToEntry { entry, agent, session, msg } => {
+                if self.entries[entry].links.get(&agent) == Some(&session) {
+                    let (name, now) = (format!("w{agent}").into(), self.now_at(entry));
+                    self.entry(entry, |core, _, out| core.on_agent(now, &name, msg, out));
+                }
+            }
+            Packet::Peer { from, to, msg } => {
+                let now = self.now_at(to);
+                self.entry(to, |core, _, out| core.on_peer(now, &from, msg, out));
+            }
+            Packet::Seal { asker, of, shard, version } => {
+                let Some(i) = self.agents.iter().position(|p| p.node == of) else { return };
+                let mut sealed = None;
+                self.agent(i, |core, _, _| sealed = Some(core.registry().seal(shard, version)));
+                let reply = sealed.map(|sealed| Packet::Sealed { to: asker, sealed });
+                self.wire.extend(reply);
+            }
+            Packet::Sealed { to, sealed } => {
+                let Some(i) = self.agents.iter().position(|p| p.node == to) else { return };
+                self.agent(i, |core, _, _| {
+                    let cluster = core.cluster().clone();
+                    let shard = &cluster.shards[sealed.shard as usize];
+                    core.registry().on_sealed(sealed, shard);
+                });
+            }
+        }
+    }
+
+    pub fn lose(&mut self, at: usize) {
+        if !self.wire.is_empty() {
+            let at = at % self.wire.len();
+            self.wire.remove(at);
+        }
+    }
+
+    /// Links everything, spreads the configuration and delivers all messages.
+    pub fn settle(&mut self) {
+        for node in 0..ENTRIES + AGENTS {
+            self.freeze(node, false);
+        }
+        (0..ENTRIES).for_each(|i| self.restart_entry_if_down(i));
+        (0..AGENTS).for_each(|i| self.restart_agent_if_down(i));
+        for _ in 0..60 {
+            self.place();
+            for i in 0..AGENTS {
+                self.config_agent(i);
+                self.renew_backend(i);
+                for entry in 0..ENTRIES {
+                    self.link(entry, i);
+                }
+                self.look_agent(i);
+            }
+            for i in 0..ENTRIES {
+                self.config_entry(i);
+                self.look_entry(i);
+            }
+            while !self.wire.is_empty() {
+                self.deliver(0, false);
+            }
+            while !self.running.is_empty() {
+                self.end_run(0, false);
+            }
+            self.pass(Duration::from_millis(200));
+        }
+    }
+
+    fn entry<F>(&mut self, i: usize, f: F)
+    where
+        F: FnOnce(&mut Dispatcher, &mut IndexMap<usize, u64>, &mut Vec<dispatcher::Action>),
+    {
+        let p = &mut self.entries[i];
+        let Some(core) = p.core.as_mut().filter(|_| !p.frozen) else { return };
+        let mut out = Vec::new();
+        f(core, &mut p.links, &mut out);
+        let from = p.node.clone();
+        for action in out {
+            match action {
+                dispatcher::Action::Send(to, msg) => {
+                    let Some(agent) = index_of(&to) else { continue };
+                    if let Some(session) = self.entries[i].links.get(&agent).copied() {
+                        self.wire.push_back(Packet::ToAgent { entry: i, agent, session, msg });
+                    }
+                }
+                dispatcher::Action::Peer(to, msg) => {
+                    let Some(to) = index_of(&to) else { continue };
+                    self.wire.push_back(Packet::Peer { from: from.clone(), to, msg });
+                }
+                dispatcher::Action::Answer(caller, answer) => self.on_answer(caller, &answer),
+                dispatcher::Action::Note(_) => {}
+            }
+        }
+    }
+
+    fn agent<F>(&mut self, i: usize, f: F)
+    where
+        F: FnOnce(&mut Agent, &mut IndexMap<usize, u64>, &mut Vec<agent::Action>),
+    {
+        let mono = self.mono();
+        let p = &mut self.agents[i];
+        let Some(core) = p.core.as_mut().filter(|_| !p.frozen) else { return };
+        let mut out = Vec::new();
+        core.observe(mono, &mut out);
+        f(core, &mut p.links, &mut out);
+        let node = p.node.clone();
+        for action in out {
+            match action {
+                agent::Action::Send(to, msg) => {
+                    let Some(entry) = index_of(&to) else { continue };
+                    if let Some(session) = self.agents[i].links.get(&entry).copied() {
+                        self.wire.push_back(Packet::ToEntry { entry, agent: i, session, msg });
+                    }
+                }
+                agent::Action::Run(run) => self.on_start(i, node.clone(), run),
+                agent::Action::Collect(collect) => {
+                    for of in collect.from {
+                        let asker = node.clone();
+                        let (shard, version) = (collect.shard, collect.version);
+                        self.wire.push_back(Packet::Seal { asker, of, shard, version });
+                    }
+                }
+            }
+        }
+    }
+
+    fn on_start(&mut self, agent: usize, node: NodeRef, run: Run) {
+        let id = (run.task.key, run.task.index);
+        let count = self.starts.entry(id).or_default();
+        *count += 1;
+        assert_eq!(*count, 1, "task {} of {} started twice", id.1, id.0);
+        assert!(!self.refused.contains(&id.0), "a task of {} started after a not-run answer", id.0);
+        self.running.push((agent, node, run));
+    }
+
+    fn on_answer(&mut self, caller: u64, answer: &Answer) {
+        let Some((_, spec)) = self.callers.swap_remove(&caller) else {
+            panic!("caller {caller} was answered twice");
+        };
+        let started = (0..spec.tasks.len() as u16).filter(|i| self.starts.contains_key(&(spec.key, *i)));
+        let started = started.count();
+        match answer {
+            Ok(results) => {
+                let asked: Vec<_> = spec.tasks.iter().map(|task| task.payload.clone()).collect();
+                assert_eq!(**results, *asked, "the answer is not the whole answer to the request");
+                self.answered += 1;
+            }
+            Err(failure) if failure.ran == Ran::NotRun => {
+                assert_eq!(started, 0, "{:?} says not-run, but {started} tasks started", failure.kind);
+                let waits = self.callers.values().any(|(_, other)| other.key == spec.key);
+                if !waits {
+                    self.refused.insert(spec.key);
+                }
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Callers that still wait.
+    pub fn waiting(&self) -> usize {
+        self.callers.len()
+    }
+}
+
+impl Packet {
+    fn copy(&self) -> Option<Self> {
+        Some(match self {
+            Self::ToAgent { entry, agent, session, msg } => {
+                Self::ToAgent { entry: *entry, agent: *agent, session: *session, msg: msg.clone() }
+            }
+            Self::ToEntry { entry, agent, session, msg } => {
+                Self::ToEntry { entry: *entry, agent: *agent, session: *session, msg: msg.clone() }
+            }
+            Self::Peer { from, to, msg } => {
+                Self::Peer { from: from.clone(), to: *to, msg: msg.clone() }
+            }
+            Self::Seal { .. } | Self::Sealed { .. } => return None,
+        })
+    }
+}
+
+impl<C> Process<C> {
+    fn new(name: String) -> Self {
+        let node = NodeRef { name: name.into(), incarnation: 0 };
+        Self { core: None, node, frozen: false, links: IndexMap::new() }
+    }
+
+    fn renew(&mut self, wall: WallMs) {
+        self.node.incarnation = wall.0.max(self.node.incarnation + 1);
+        self.frozen = false;
+        self.links.clear();
+    }
+}
+
+fn index_of(name: &Name) -> Option<usize> {
+    name.get(1..)?.parse().ok()
+}
+
+fn member(node: &NodeRef, role: Role, domain: usize, state: MemberState, ready_for: u64) -> Member {
+    let addr = ([127, 0, 0, 1], 1).into();
+    Member {
+        node: node.clone(),
+        version: 1,
+        role,
+        domain: format!("d{domain}").into(),
+        gossip: addr,
+        link: addr,
+        http: addr,
+        state,
+        leaving: false,
+        ready_for,
+    }
+}
