Shards whose earlier version is lost fall back instead of waiting for ever; stuck claims are given up

Causes, found by the property test of tasks: a shard whose only serving replica was lost waited for the version before it, which was lost as well; a minority's record was taken for a claim after a majority's knowledge was lost; an entry's own open and closed claims at two replicas chased each other. Changes: fallback by time of knowledge, no answer from records before it, a bound on holders met.

--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -36,6 +36,8 @@
 pub const MAX_RETAINED_BYTES: usize = 64 * 1024 * 1024;
 /// Tasks that may wait for one service when its configuration says nothing.
 pub const MAX_QUEUED_TASKS: u32 = 100_000;
+/// Times that other holders of a key are met before the outcome is given up as unknown.
+const MAX_MET: u32 = 12;
 /// Dispatches of one task before its job fails.
 const MAX_TRIES: u32 = 8;
 
@@ -196,6 +198,8 @@
     started: u32,
     /// Whether its tenant's concurrency is charged.
     admitted: bool,
+    /// Times that another holder of the key was met.
+    met: u32,
     /// The refusal that is answered once the key is closed.
     closing: Option<Failure>,
     waiters: Vec<Waiter>,
--- a/crates/core/src/dispatcher/admit.rs
+++ b/crates/core/src/dispatcher/admit.rs
@@ -48,6 +48,7 @@
             done: 0,
             started: 0,
             admitted: false,
+            met: 0,
             closing: None,
             waiters: vec![Waiter::Caller(caller)],
             spec,
--- a/crates/core/src/dispatcher/claims.rs
+++ b/crates/core/src/dispatcher/claims.rs
@@ -9,7 +9,7 @@
 use crate::msg::{Claim, ClaimReply, Peer, ToAgent};
 use crate::placement::shard_of;
 
-use super::{Action, Dispatcher, Now, Phase, Waiter};
+use super::{Action, Dispatcher, MAX_MET, Now, Phase, Waiter};
 
 /// Time that a refused job's key may take to close; after it the answer is "unknown".
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -150,7 +150,20 @@
             self.finish(now, key, Err(failure), out);
             return;
         }
-        if holder.closed {
+        job.met += 1;
+        if job.met > MAX_MET {
+            let detail = "the key's holders could not be sorted out";
+            self.fail(
+                now,
+                key,
+                Failure::unknown(FailureKind::OutcomeUnknown, detail),
+                out,
+            );
+            return;
+        }
+        // An open claim of this process that started nothing does not stand against closing.
+        let own = holder.owner == self.me && !self.ended.contains_key(&key);
+        if holder.closed || own && job.closing.is_some() {
             job.attempt = holder.attempt + 1;
             let detail = "the key was refused as not run before; try again with a new key";
             self.close(
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -175,16 +175,14 @@
         present.settled && reachable >= present.majority() && enough
     }
 
-    /// Whether this version cannot be served any more unless it was already, since the version
-    /// before it is lost.
+    /// Whether no more replicas of this version can come to serve it, since the version before it is
+    /// lost.
     fn must_fall_back(&self, present: &Shard) -> bool {
         let reachable = present
             .replicas
             .iter()
             .filter(|node| self.reachable(node).is_some());
-        !present.settled
-            && self.majority_gone(&present.before)
-            && reachable.count() >= present.majority()
+        self.majority_gone(&present.before) && reachable.count() >= present.majority()
     }
 
     fn majority_gone(&self, nodes: &[NodeRef]) -> bool {
--- a/crates/core/src/registry.rs
+++ b/crates/core/src/registry.rs
@@ -216,6 +216,10 @@
         if claim.replica != self.me || held.serves != Some(claim.version) {
             return ClaimReply::Busy;
         }
+        // A record from before the loss may be a minority's.
+        if claim.key.created() < held.knows_since {
+            return ClaimReply::Forgotten;
+        }
         if let Some(record) = held.records.get(&claim.key) {
             if record.contested && record.closed {
                 return ClaimReply::Forgotten;
@@ -226,8 +230,6 @@
             if older || reopens || record.digest != claim.digest {
                 return record.as_held();
             }
-        } else if claim.key.created() < held.knows_since {
-            return ClaimReply::Forgotten;
         } else if full {
             return ClaimReply::Busy;
         }
--- a/crates/core/tests/support/tasks.rs
+++ b/crates/core/tests/support/tasks.rs
@@ -15,7 +15,7 @@
 use rw_core::members::{Member, MemberState};
 use rw_core::msg::{Peer, Role, TaskResult, ToAgent, ToEntry};
 use rw_core::placement;
-use rw_core::registry::SealedShard;
+use rw_core::registry::{Collect, SealedShard};
 
 pub const ENTRIES: usize = 3;
 pub const AGENTS: usize = 5;
@@ -71,6 +71,8 @@
     next_session: u64,
     wire: VecDeque<Packet>,
     running: Vec<(usize, NodeRef, Run)>,
+    /// Collections that adapters repeat until the shard is served or moved.
+    collects: Vec<(NodeRef, Collect)>,
     cluster: Arc<ClusterState>,
     /// The judge: starts seen by backend servers.
     starts: IndexMap<(JobKey, u16), u32>,
@@ -118,6 +120,7 @@
             next_session: 1,
             wire: VecDeque::new(),
             running: Vec::new(),
+            collects: Vec::new(),
             cluster: Arc::new(cluster),
             starts: IndexMap::new(),
             callers: IndexMap::new(),
@@ -535,6 +538,7 @@
                 self.config_entry(i);
                 self.look_entry(i);
             }
+            self.repeat_collects();
             let mut delivered = 0;
             while !self.wire.is_empty() {
                 self.deliver(0, false);
@@ -548,6 +552,23 @@
         }
     }
 
+    fn repeat_collects(&mut self) {
+        let cluster = self.cluster.clone();
+        self.collects.retain(|(_, collect)| {
+            cluster.shards[collect.shard as usize].version == collect.version
+        });
+        for (asker, collect) in &self.collects {
+            for of in &collect.from {
+                self.wire.push_back(Packet::Seal {
+                    asker: asker.clone(),
+                    of: of.clone(),
+                    shard: collect.shard,
+                    version: collect.version,
+                });
+            }
+        }
+    }
+
     fn entry<F>(&mut self, i: usize, f: F)
     where
         F: FnOnce(&mut Dispatcher, &mut IndexMap<usize, u64>, &mut Vec<dispatcher::Action>),
@@ -614,6 +635,7 @@
                 }
                 agent::Action::Run(run) => self.on_start(i, node.clone(), run),
                 agent::Action::Collect(collect) => {
+                    self.collects.push((node.clone(), collect.clone()));
                     for of in collect.from {
                         let asker = node.clone();
                         let (shard, version) = (collect.shard, collect.version);
