--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Tasks for developers.
+
+.PHONY: build lint test soak bench man
+
+build:
+	cargo build --release --workspace
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets -- -D warnings
+
+# The binaries are built first: tests of processes start them.
+test:
+	cargo build --workspace
+	cargo test --workspace
+	@echo "known faults that the run passes over:"
+	@grep -v '^#' KNOWN-RED.txt || echo "none"
+
+# A million steps a core for each property, with other seeds.
+soak:
+	for seed in 1 2 3 4 5 6; do \
+	    RW_STEPS=1000000 RW_SEED=$$seed cargo test --release -p rw-core --tests || exit 1; \
+	done
+
+bench: build
+	target/release/rw-load bench
+
+man: build
+	mkdir -p target/man target/completions
+	target/release/redwingwick man target/man
+	for shell in bash zsh fish; do \
+	    target/release/redwingwick completions $$shell > target/completions/redwingwick.$$shell; \
+	done
--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -6,6 +6,7 @@
 use rouille::{Request, Response};
 use rw_core::agent::Announcement;
 use rw_core::ids::Name;
+use rw_host::cluster::Cluster;
 use rw_host::http;
 
 use crate::duty::Event;
@@ -16,8 +17,8 @@
 const REPLY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Answers a request.
-pub fn handle(req: &Request, tx: &Sender<Event>, ready: bool) -> Response {
-    if let Some(response) = http::common(req, ready) {
+pub fn handle(req: &Request, tx: &Sender<Event>, ready: bool, cluster: &Cluster) -> Response {
+    if let Some(response) = http::common(req, ready, cluster) {
         return response;
     }
     let path = req.url();
--- a/crates/agent/src/duty.rs
+++ b/crates/agent/src/duty.rs
@@ -90,9 +90,14 @@
     let cluster = setup.start(&bound)?;
     linker.accept(bound.link);
     let ready = Arc::new(AtomicBool::new(false));
-    let (http_tx, http_ready) = (tx.clone(), ready.clone());
+    let (http_tx, http_ready, http_cluster) = (tx.clone(), ready.clone(), cluster.clone());
     http::serve(node.http, announce::HTTP_THREADS, move |req| {
-        announce::handle(req, &http_tx, http_ready.load(Ordering::Acquire))
+        announce::handle(
+            req,
+            &http_tx,
+            http_ready.load(Ordering::Acquire),
+            &http_cluster,
+        )
     })?;
     let (end_tx, shutdown_tx) = (tx.clone(), tx.clone());
     let signal = program::shutdown_signal()?;
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -85,7 +85,8 @@
 impl Api {
     /// Answers a request.
     pub fn handle(&self, req: &Request) -> Response {
-        if let Some(response) = http::common(req, self.ready.load(Ordering::Acquire)) {
+        if let Some(response) = http::common(req, self.ready.load(Ordering::Acquire), &self.cluster)
+        {
             return response;
         }
         let known = http::bearer_hash(req).is_some_and(|hash| self.token_hashes.contains(&hash));
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -41,7 +41,8 @@
 impl Api {
     /// Answers a request.
     pub fn handle(&self, req: &Request) -> Response {
-        if let Some(response) = http::common(req, self.ready.load(Ordering::Acquire)) {
+        if let Some(response) = http::common(req, self.ready.load(Ordering::Acquire), &self.cluster)
+        {
             return response;
         }
         let path = req.url();
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -10,10 +10,12 @@
 use flume::{Receiver, Sender};
 use rw_core::codec::ClusterKey;
 use rw_core::config::ClusterState;
-use rw_core::ids::NodeRef;
+use rw_core::ids::{Name, NodeRef};
 use rw_core::members::{Gossip, Member, MemberState, Members, Outgoing};
 use rw_core::msg::{Ask, Hello, Msg, Role, Told};
 
+use serde::{Deserialize, Serialize};
+
 use crate::link::{Link, ask, spawn};
 use crate::metrics;
 use crate::settings::{Bound, NodeSettings};
@@ -48,6 +50,17 @@
     members: Vec<Member>,
 }
 
+/// What is in force at one node.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct InForce {
+    /// The node.
+    pub node: Name,
+    /// The configuration's revision; 0 without one.
+    pub revision: u64,
+    /// The preset.
+    pub preset: Option<Name>,
+}
+
 /// A handle on this process's part in the cluster.
 #[derive(Clone, Debug)]
 pub struct Cluster {
@@ -179,6 +192,16 @@
         self.lock().state.clone()
     }
 
+    /// What is in force here, for anyone who asks.
+    pub fn in_force(&self) -> InForce {
+        let state = self.state();
+        InForce {
+            node: self.hello.node.name.clone(),
+            revision: state.as_ref().map_or(0, |state| state.revision),
+            preset: state.map(|state| state.in_force.value.clone()),
+        }
+    }
+
     /// All known members.
     pub fn members(&self) -> Vec<Member> {
         self.lock().members.clone()
--- a/crates/host/src/http.rs
+++ b/crates/host/src/http.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::cluster::Cluster;
 use crate::link::spawn;
 use crate::metrics;
 
@@ -82,11 +83,12 @@
 }
 
 /// Answers the paths that all daemons have.
-pub fn common(req: &Request, ready: bool) -> Option<Response> {
+pub fn common(req: &Request, ready: bool, cluster: &Cluster) -> Option<Response> {
     match (req.method(), req.url().as_str()) {
         ("GET", "/healthz") => Some(Response::text("ok\n")),
         ("GET", "/readyz") if ready => Some(Response::text("ready\n")),
         ("GET", "/readyz") => Some(Response::text("not ready\n").with_status_code(503)),
+        ("GET", "/v1/inforce") => Some(json(&cluster.in_force())),
         ("GET", "/metrics") => Some(Response::text(metrics::render())),
         _ => None,
     }
--- /dev/null
+++ b/crates/load/src/bench.rs
@@ -0,0 +1,507 @@
+//! The four measures for each dispatch policy, on one load, in one run.
+
+use std::io;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::caller::{End, Job, Outcome, run_all};
+use crate::ideal;
+use crate::lab::{Lab, Plan};
+use crate::workload;
+
+/// Speeds of the workers: 11, spread 1:3.
+pub const SPEEDS: [f64; 11] = [0.6, 0.7, 0.8, 0.9, 1.0, 1.0, 1.1, 1.2, 1.4, 1.6, 1.8];
+const SLOTS: u32 = 8;
+/// Of three submissions, two go to the first entry: entries are of unequal size.
+const TO_FIRST: usize = 2;
+const SEED: u64 = 7;
+const CREST_DEADLINE: Duration = Duration::from_secs(2);
+
+/// One way to dispatch.
+#[derive(Clone, Copy, Debug)]
+pub struct Way {
+    /// Its name in the results.
+    pub name: &'static str,
+    /// Settings of the entries.
+    pub entry: &'static str,
+    /// Whether tasks wait at the workers.
+    pub queue_here: bool,
+}
+
+const fn way(name: &'static str, entry: &'static str) -> Way {
+    Way {
+        name,
+        entry,
+        queue_here: false,
+    }
+}
+
+const fn push(name: &'static str, entry: &'static str) -> Way {
+    Way {
+        name,
+        entry,
+        queue_here: true,
+    }
+}
+
+/// The chosen policy and the baselines.
+pub const WAYS: [Way; 4] = [
+    way("credits", ""),
+    push("random", "[policy]\nmode = \"random\"\n"),
+    push("round-robin", "[policy]\nmode = \"round-robin\"\n"),
+    push("two-choices", "[policy]\nmode = \"two-choices\"\n"),
+];
+
+/// The chosen policy with one part switched off, and the measure that the part is for.
+pub const WITHOUT: [(Way, Measure); 5] = [
+    (
+        way("no-learned-speeds", "[policy]\nlearn_speeds = false\n"),
+        Measure::Steady,
+    ),
+    (
+        way("no-job-order", "[policy]\njob_order = false\n"),
+        Measure::Steady,
+    ),
+    (
+        way("no-early-refusal", "[policy]\nrefuse_early = false\n"),
+        Measure::Crest,
+    ),
+    (
+        way(
+            "no-dropping",
+            "[policy]\ndrop_abandoned = false\nrefuse_early = false\n",
+        ),
+        Measure::Crest,
+    ),
+    (
+        way("no-class-shares", "[policy]\nclass_shares = false\n"),
+        Measure::Blocking,
+    ),
+];
+
+/// What is measured.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Measure {
+    /// Response time against the ideal and wasted messages at 70% load.
+    Steady,
+    /// The same with run times misdeclared tenfold either way.
+    Misdeclared,
+    /// Service at the crest of a swing.
+    Crest,
+    /// Wait of short tasks behind long ones.
+    Blocking,
+    /// Work drawn by a worker that fails everything.
+    BadWorker,
+}
+
+/// One line of results. Ratios and shares, times in milliseconds.
+#[derive(Debug, Default, Serialize)]
+pub struct Line {
+    measure: String,
+    way: String,
+    values: Vec<(&'static str, f64)>,
+}
+
+impl Line {
+    /// One value.
+    pub fn value(&self, name: &str) -> Option<f64> {
+        self.values
+            .iter()
+            .find(|(known, _)| *known == name)
+            .map(|(_, value)| *value)
+    }
+
+    fn new(measure: Measure, way: &Way) -> Self {
+        let measure = serde_json::to_value(measure).ok();
+        let measure = measure
+            .and_then(|value| value.as_str().map(String::from))
+            .unwrap_or_default();
+        Self {
+            measure,
+            way: way.name.into(),
+            values: Vec::new(),
+        }
+    }
+
+    fn add(&mut self, name: &'static str, value: f64) {
+        self.values
+            .push((name, (value * 10_000.0).round() / 10_000.0));
+    }
+
+    fn print(&self) {
+        let values: Vec<String> = self
+            .values
+            .iter()
+            .map(|(name, value)| format!("{name} {value}"))
+            .collect();
+        println!(
+            "{:<12} {:<18} {}",
+            self.measure,
+            self.way,
+            values.join("  ")
+        );
+        let object: serde_json::Map<String, serde_json::Value> = self
+            .values
+            .iter()
+            .map(|(name, value)| ((*name).into(), (*value).into()))
+            .collect();
+        let json = serde_json::json!({"measure": self.measure, "way": self.way, "values": object});
+        println!("{json}");
+    }
+}
+
+/// Runs everything and returns all lines.
+pub fn run_all_ways(quick: bool) -> io::Result<Vec<Line>> {
+    let measures = [Measure::Steady, Measure::Crest, Measure::Blocking];
+    let mut lines = Vec::new();
+    for way in WAYS.iter().take(if quick { 1 } else { WAYS.len() }) {
+        for measure in measures {
+            lines.push(run(way, measure)?);
+        }
+    }
+    lines.push(run(&WAYS[0], Measure::Misdeclared)?);
+    lines.push(run(&WAYS[0], Measure::BadWorker)?);
+    if !quick {
+        lines.push(run(
+            &way("no-ejection", "[policy]\neject = false\n"),
+            Measure::BadWorker,
+        )?);
+        for (way, measure) in &WITHOUT {
+            lines.push(run(way, *measure)?);
+        }
+    }
+    Ok(lines)
+}
+
+/// Runs one measure for one way.
+pub fn run(way: &Way, measure: Measure) -> io::Result<Line> {
+    let plan = Plan {
+        speeds: SPEEDS.to_vec(),
+        domains: 4,
+        slots: SLOTS,
+        entry_settings: way.entry.into(),
+        agent_settings: if way.queue_here {
+            "[agent]\nqueue_here = true\n".into()
+        } else {
+            String::new()
+        },
+        tenants: vec![("t1", 1), ("t2", 1)],
+        ..Plan::default()
+    };
+    let mut lab = Lab::start(plan)?;
+    let mut line = Line::new(measure, way);
+    match measure {
+        Measure::Steady => steady(&lab, None, &mut line),
+        Measure::Misdeclared => steady(&lab, Some(10.0), &mut line),
+        Measure::Crest => crest(&lab, &mut line),
+        Measure::Blocking => blocking(&lab, &mut line),
+        Measure::BadWorker => bad_worker(&mut lab, &mut line)?,
+    }
+    line.print();
+    Ok(line)
+}
+
+fn capacity() -> f64 {
+    SPEEDS.iter().sum::<f64>() * f64::from(SLOTS)
+}
+
+fn submit(lab: &Lab, jobs: &[Job]) -> Vec<Outcome> {
+    let entries = lab.entries();
+    run_all(jobs, |i| {
+        entries[usize::from(i % 3 >= TO_FIRST) % entries.len()].clone()
+    })
+}
+
+/// Lets the learned speeds settle before the measured load.
+fn warm_up(lab: &Lab) {
+    submit(
+        lab,
+        &workload::mixed(SEED + 1, 0.7 * capacity(), Duration::from_secs(5), None),
+    );
+}
+
+fn steady(lab: &Lab, declared_factor: Option<f64>, line: &mut Line) {
+    warm_up(lab);
+    let jobs = workload::mixed(
+        SEED,
+        0.7 * capacity(),
+        Duration::from_secs(20),
+        declared_factor,
+    );
+    let before = Counters::read(lab);
+    let outcomes = submit(lab, &jobs);
+    let after = Counters::read(lab);
+    let ideal = ideal::response_times(&jobs, &SPEEDS, SLOTS);
+    let whole = || {
+        outcomes
+            .iter()
+            .enumerate()
+            .filter(|(_, outcome)| outcome.end == End::Whole)
+    };
+    let ratios = whole().map(|(i, o)| o.time.as_secs_f64() / ideal[i].as_secs_f64());
+    let alone = whole()
+        .map(|(i, o)| o.time.as_secs_f64() / ideal::alone(&jobs[i], &SPEEDS, SLOTS).as_secs_f64());
+    let ratios: Vec<f64> = ratios.collect();
+    line.add("jobs", jobs.len() as f64);
+    line.add("whole", ratios.len() as f64 / jobs.len() as f64);
+    line.add("mean_ratio", mean(&ratios));
+    line.add("p50_ratio", percentile(&ratios, 0.5));
+    line.add("p99_ratio", percentile(&ratios, 0.99));
+    line.add("mean_ratio_alone", mean(&alone.collect::<Vec<_>>()));
+    let totals = |c: &Counters| (c.started, c.wasted);
+    let tasks = totals(&after).0 - totals(&before).0;
+    line.add(
+        "wasted_per_task",
+        (totals(&after).1 - totals(&before).1) / tasks.max(1.0),
+    );
+    for ((kind, now), (_, was)) in after.kinds.iter().zip(&before.kinds) {
+        if now - was > 0.0 {
+            line.add(kind, (now - was) / tasks.max(1.0));
+        }
+    }
+    line.add(
+        "entry_us_per_task",
+        (after.entry_us - before.entry_us) / tasks.max(1.0),
+    );
+    line.add(
+        "agent_us_per_task",
+        (after.agent_us - before.agent_us) / tasks.max(1.0),
+    );
+}
+
+/// Messages between processes and processor time so far.
+struct Counters {
+    started: f64,
+    wasted: f64,
+    kinds: Vec<(&'static str, f64)>,
+    entry_us: f64,
+    agent_us: f64,
+}
+
+const WASTED_KINDS: [&str; 11] = [
+    "ping", "offer", "grant", "recall", "want", "return", "claim", "claimed", "refused", "peer",
+    "datagram",
+];
+
+impl Counters {
+    fn read(lab: &Lab) -> Self {
+        let nodes: Vec<String> = lab
+            .running()
+            .into_iter()
+            .filter(|name| name.starts_with(['e', 'w']))
+            .collect();
+        let sum = |kind: &str| -> f64 {
+            let label = format!("kind=\"{kind}\"");
+            nodes
+                .iter()
+                .map(|node| lab.metric(node, "rw_messages_sent_total", &label))
+                .sum()
+        };
+        let datagrams = || {
+            nodes
+                .iter()
+                .map(|n| lab.metric(n, "rw_datagrams_sent_total", ""))
+                .sum()
+        };
+        let count = |kind: &'static str| {
+            (
+                kind,
+                if kind == "datagram" {
+                    datagrams()
+                } else {
+                    sum(kind)
+                },
+            )
+        };
+        let kinds: Vec<(&'static str, f64)> = WASTED_KINDS.into_iter().map(count).collect();
+        let cpu = |letter: char| -> f64 {
+            let of = nodes.iter().filter(|name| name.starts_with(letter));
+            of.map(|name| lab.cpu(name).as_micros() as f64).sum()
+        };
+        // Membership is the same with and without load; it is given by itself.
+        let wasted = kinds
+            .iter()
+            .filter(|(kind, _)| *kind != "datagram")
+            .map(|(_, n)| n)
+            .sum();
+        Self {
+            started: sum("start"),
+            wasted,
+            kinds,
+            entry_us: cpu('e'),
+            agent_us: cpu('w'),
+        }
+    }
+}
+
+fn crest(lab: &Lab, line: &mut Line) {
+    warm_up(lab);
+    let jobs = workload::crest(SEED, 0.3 * capacity(), 3.0 * capacity(), 3, CREST_DEADLINE);
+    let outcomes = submit(lab, &jobs);
+    let useful = |(job, outcome): (&Job, &Outcome)| {
+        if outcome.end == End::Whole && outcome.time <= CREST_DEADLINE + Duration::from_millis(50) {
+            job.work().as_secs_f64()
+        } else {
+            0.0
+        }
+    };
+    let done: f64 = jobs.iter().zip(&outcomes).map(useful).sum();
+    line.add("useful_of_capacity", done / allowed(&jobs));
+    let by_tenant = |tenant: &str| -> f64 {
+        jobs.iter()
+            .zip(&outcomes)
+            .filter(|(job, _)| job.tenant == tenant)
+            .map(useful)
+            .sum()
+    };
+    line.add("t1_of_t2", by_tenant("t1") / by_tenant("t2").max(0.001));
+    let refused: Vec<f64> = outcomes
+        .iter()
+        .filter(|outcome| outcome.end == End::NotRun && outcome.problem == "overloaded")
+        .map(|outcome| outcome.time.as_secs_f64() * 1000.0)
+        .collect();
+    line.add("refused", refused.len() as f64 / jobs.len() as f64);
+    line.add("refusal_p99_ms", percentile(&refused, 0.99));
+    let count =
+        |end: End| outcomes.iter().filter(|o| o.end == end).count() as f64 / jobs.len() as f64;
+    line.add("not_run", count(End::NotRun));
+    line.add("unknown", count(End::Unknown));
+    line.add("lost", count(End::Lost));
+    // Jobs of the last calm second are answered well again unless service collapsed.
+    let last = jobs.last().map_or(Duration::ZERO, |job| job.at);
+    let calm = jobs
+        .iter()
+        .zip(&outcomes)
+        .filter(|(job, _)| job.at + Duration::from_millis(500) >= last);
+    let (good, all) = calm.fold((0.0, 0.0), |(good, all), pair| {
+        (good + useful(pair).min(1.0).ceil(), all + 1.0)
+    });
+    line.add("recovered", good / f64::max(all, 1.0));
+}
+
+/// The work that could be done in time: what arrives, up to the capacity, with no more waiting than
+/// the deadline leaves.
+fn allowed(jobs: &[Job]) -> f64 {
+    let step = 0.01;
+    let (mut waiting, mut done, mut next, mut at) = (0.0_f64, 0.0, 0, 0.0);
+    let room = capacity() * (CREST_DEADLINE.as_secs_f64() - 0.3);
+    let end = jobs.last().map_or(0.0, |job| job.at.as_secs_f64()) + CREST_DEADLINE.as_secs_f64();
+    while at < end {
+        while next < jobs.len() && jobs[next].at.as_secs_f64() <= at {
+            waiting += jobs[next].work().as_secs_f64();
+            next += 1;
+        }
+        let served = waiting.min(capacity() * step);
+        done += served;
+        waiting = (waiting - served).min(room);
+        at += step;
+    }
+    done
+}
+
+fn blocking(lab: &Lab, line: &mut Line) {
+    let time = Duration::from_secs(14);
+    let short_load = 0.1 * capacity();
+    let waits = |jobs: &[Job]| -> Vec<f64> {
+        let outcomes = submit(lab, jobs);
+        let slowest = SPEEDS.iter().copied().fold(f64::INFINITY, f64::min);
+        let own = jobs[0].runs[0]
+            .min(Duration::from_millis(100))
+            .as_secs_f64()
+            / slowest;
+        let short = jobs
+            .iter()
+            .zip(&outcomes)
+            .filter(|(job, o)| !job.long && o.end == End::Whole);
+        // The wait beyond the run on the slowest worker is surely a wait.
+        short
+            .map(|(_, o)| (o.time.as_secs_f64() - own).max(0.0) * 1000.0)
+            .collect()
+    };
+    let calm = waits(&workload::short_behind_long(SEED, short_load, 0.0, time));
+    let busy = waits(&workload::short_behind_long(
+        SEED,
+        short_load,
+        2.0 * capacity(),
+        time,
+    ));
+    line.add("calm_p50_ms", percentile(&calm, 0.5));
+    line.add("calm_p99_ms", percentile(&calm, 0.99));
+    line.add("behind_long_p50_ms", percentile(&busy, 0.5));
+    line.add("behind_long_p99_ms", percentile(&busy, 0.99));
+    line.add("short_run_ms", 100.0);
+    line.add("answered", busy.len() as f64);
+}
+
+fn bad_worker(lab: &mut Lab, line: &mut Line) -> io::Result<()> {
+    lab.kill("b5");
+    lab.start_backend(5, &["--fail"])?;
+    std::thread::sleep(Duration::from_millis(500));
+    let jobs = workload::mixed(SEED, 0.7 * capacity(), Duration::from_secs(12), None);
+    let small: Vec<Job> = jobs
+        .iter()
+        .flat_map(|job| {
+            job.runs.iter().map(move |run| Job {
+                runs: vec![*run],
+                ..job.clone()
+            })
+        })
+        .collect();
+    let half = small
+        .iter()
+        .position(|job| job.at > Duration::from_secs(2))
+        .unwrap_or(0);
+    let early = submit(lab, &small[..half]);
+    let before = (
+        lab.metric("w5", "rw_agent_run_seconds_count", ""),
+        all_runs(lab),
+    );
+    let late_jobs: Vec<Job> = small[half..]
+        .iter()
+        .map(|job| Job {
+            at: job.at - small[half].at,
+            ..job.clone()
+        })
+        .collect();
+    let late = submit(lab, &late_jobs);
+    let after = (
+        lab.metric("w5", "rw_agent_run_seconds_count", ""),
+        all_runs(lab),
+    );
+    let failed = |list: &[Outcome]| list.iter().filter(|o| o.end != End::Whole).count() as f64;
+    line.add(
+        "drawn_after_2s",
+        (after.0 - before.0) / (after.1 - before.1).max(1.0),
+    );
+    line.add(
+        "failed_first_2s",
+        failed(&early) / early.len().max(1) as f64,
+    );
+    line.add("failed_after", failed(&late) / late.len().max(1) as f64);
+    Ok(())
+}
+
+fn all_runs(lab: &Lab) -> f64 {
+    (0..SPEEDS.len())
+        .map(|i| lab.metric(&format!("w{i}"), "rw_agent_run_seconds_count", ""))
+        .sum()
+}
+
+/// The mean; 0 of nothing.
+pub fn mean(values: &[f64]) -> f64 {
+    if values.is_empty() {
+        0.0
+    } else {
+        values.iter().sum::<f64>() / values.len() as f64
+    }
+}
+
+/// A percentile by rank; 0 of nothing.
+pub fn percentile(values: &[f64], share: f64) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let at = ((sorted.len() as f64 * share).ceil() as usize).saturating_sub(1);
+    sorted.get(at).copied().unwrap_or(0.0)
+}
--- /dev/null
+++ b/crates/load/src/caller.rs
@@ -0,0 +1,159 @@
+//! Callers: submit jobs by HTTP and tell what became of them.
+
+use std::time::{Duration, Instant};
+
+use attohttpc::ProxySettings;
+use rw_core::ids::JobKey;
+use rw_host::clock;
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::lab::{CALLER, SERVICE};
+
+/// A job to submit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Job {
+    /// Time of submission after the load's start.
+    pub at: Duration,
+    /// The tenant.
+    pub tenant: String,
+    /// Whether it is long work.
+    pub long: bool,
+    /// Time until the answer is of no use.
+    pub deadline: Duration,
+    /// Run times of the tasks on a worker of speed 1.
+    pub runs: Vec<Duration>,
+    /// Declared run times, where they differ from the actual ones by this factor.
+    pub declared_factor: Option<f64>,
+}
+
+impl Job {
+    /// The work of all tasks.
+    pub fn work(&self) -> Duration {
+        self.runs.iter().sum()
+    }
+}
+
+/// What became of a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum End {
+    /// Whole and right.
+    Whole,
+    /// An answer that is not the whole answer to the request.
+    Wrong,
+    /// Refused as not run.
+    NotRun,
+    /// Failed, and it is not known what ran.
+    Unknown,
+    /// No answer arrived.
+    Lost,
+}
+
+/// The outcome of one submission.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// What became of it.
+    pub end: End,
+    /// Time from submission to answer.
+    pub time: Duration,
+    /// The problem's type, if any.
+    pub problem: String,
+}
+
+/// A new key.
+pub fn new_key() -> JobKey {
+    JobKey::new(clock::wall(), fastrand::u128(..))
+}
+
+/// Submits a job under a key at an entry and waits for the answer.
+pub fn submit(entry: &str, key: JobKey, job: &Job) -> Outcome {
+    let echo = |i: usize| format!("{key}-{i}");
+    let task = |(i, run): (usize, &Duration)| {
+        let mut task = json!({ "payload": format!("run={} echo={}", run.as_millis(), echo(i)) });
+        if let Some(factor) = job.declared_factor {
+            task["run_ms"] = json!((run.as_secs_f64() * factor * 1000.0).max(1.0) as u64);
+        }
+        task
+    };
+    let body = json!({
+        "tenant": job.tenant,
+        "service": SERVICE,
+        "class": if job.long { "long" } else { "short" },
+        "deadline_ms": job.deadline.as_millis() as u64,
+        "tasks": job.runs.iter().enumerate().map(task).collect::<Vec<_>>(),
+    });
+    let begun = Instant::now();
+    let reply = attohttpc::post(format!("http://{entry}/v1/jobs"))
+        .connect_timeout(Duration::from_secs(1))
+        .timeout(job.deadline + Duration::from_secs(5))
+        .read_timeout(job.deadline + Duration::from_secs(5))
+        .proxy_settings(ProxySettings::builder().build())
+        .header("Authorization", format!("Bearer {CALLER}"))
+        .header("Idempotency-Key", key.to_string())
+        .text(body.to_string())
+        .send()
+        .and_then(|response| Ok((response.status().as_u16(), response.text()?)));
+    let time = begun.elapsed();
+    let Ok((status, text)) = reply else {
+        return Outcome {
+            end: End::Lost,
+            time,
+            problem: "lost".into(),
+        };
+    };
+    let value: Value = serde_json::from_str(&text).unwrap_or_default();
+    if status == 200 {
+        let expected: Vec<Value> = (0..job.runs.len()).map(|i| json!(echo(i))).collect();
+        let right = value["results"] == Value::Array(expected);
+        return Outcome {
+            end: if right { End::Whole } else { End::Wrong },
+            time,
+            problem: String::new(),
+        };
+    }
+    let end = if value["outcome"] == "not-run" {
+        End::NotRun
+    } else {
+        End::Unknown
+    };
+    let problem = value["type"]
+        .as_str()
+        .unwrap_or("none")
+        .replace("urn:redwingwick:", "");
+    Outcome { end, time, problem }
+}
+
+/// Submits all jobs at their times, each at the entry that `entry_of` names. Open loop: a slow
+/// answer delays no other submission.
+pub fn run_all<F>(jobs: &[Job], entry_of: F) -> Vec<Outcome>
+where
+    F: Fn(usize) -> String,
+{
+    let begun = Instant::now();
+    let mut threads = Vec::new();
+    for (i, job) in jobs.iter().enumerate() {
+        if let Some(wait) = job.at.checked_sub(begun.elapsed()) {
+            std::thread::sleep(wait);
+        }
+        let (entry, job) = (entry_of(i), job.clone());
+        let thread = std::thread::Builder::new()
+            .stack_size(256 * 1024)
+            .spawn(move || submit(&entry, new_key(), &job));
+        threads.push(thread);
+    }
+    let lost = || Outcome {
+        end: End::Lost,
+        time: Duration::ZERO,
+        problem: "lost".into(),
+    };
+    threads
+        .into_iter()
+        .map(|thread| {
+            thread
+                .ok()
+                .and_then(|thread| thread.join().ok())
+                .unwrap_or_else(lost)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/load/src/flood.rs
@@ -0,0 +1,177 @@
+//! How many task starts one entry carries, against stand-in agents that answer at once over the
+//! links between processes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use flume::Sender;
+use rw_core::codec::ClusterKey;
+use rw_core::ids::NodeRef;
+use rw_core::job::{Needs, task_digest};
+use rw_core::msg::{Hello, Msg, Offer, Role, Start, TaskRef, TaskResult, ToAgent, ToEntry};
+use rw_host::link::{Link, LinkEvent, Linker};
+
+use crate::caller::{Job, new_key, submit};
+use crate::lab::{Lab, Plan, SERVICE};
+
+const SECRET: &str = "laboratory-secret-0123456789";
+const SLOTS: u32 = 256;
+const EPOCH: u64 = 7;
+
+/// What was measured.
+#[derive(Debug, serde::Serialize)]
+pub struct Flood {
+    /// Tasks in each job.
+    pub tasks_per_job: usize,
+    /// Tasks that were answered.
+    pub tasks: u64,
+    /// Task starts a second.
+    pub starts_per_s: f64,
+    /// The entry's processor time for each task, in microseconds.
+    pub entry_us_per_task: f64,
+    /// Task starts a second that one core of the entry carries.
+    pub starts_per_core_s: f64,
+}
+
+/// Floods one entry for a time with jobs of this size.
+pub fn run(
+    agents: usize,
+    callers: usize,
+    tasks_per_job: usize,
+    time: Duration,
+) -> io::Result<Flood> {
+    let lab = Lab::start(Plan {
+        entries: 1,
+        ..Plan::default()
+    })?;
+    for i in 0..3 {
+        // The real agents leave, so that the stand-ins get all work; the registry stays with them.
+        lab.signal(&format!("b{i}"), rustix::process::Signal::TERM);
+    }
+    std::thread::sleep(Duration::from_millis(2500));
+    let addr: SocketAddr = lab.link("e0").parse().map_err(io::Error::other)?;
+    for i in 0..agents {
+        stand_in(i, addr);
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    let job = Job {
+        at: Duration::ZERO,
+        tenant: "t1".into(),
+        long: false,
+        deadline: Duration::from_secs(10),
+        runs: vec![Duration::ZERO; tasks_per_job],
+        declared_factor: None,
+    };
+    let entry = lab.http("e0");
+    let before = lab.cpu("e0");
+    let begun = Instant::now();
+    let threads: Vec<_> = (0..callers)
+        .map(|_| {
+            let (entry, job) = (entry.clone(), job.clone());
+            std::thread::spawn(move || {
+                let mut answered = 0;
+                while begun.elapsed() < time {
+                    let outcome = submit(&entry, new_key(), &job);
+                    answered += u64::from(outcome.problem.is_empty()) * job.runs.len() as u64;
+                }
+                answered
+            })
+        })
+        .collect();
+    let tasks: u64 = threads
+        .into_iter()
+        .map(|thread| thread.join().unwrap_or(0))
+        .sum();
+    let elapsed = begun.elapsed().as_secs_f64();
+    let cpu_us = (lab.cpu("e0") - before).as_micros() as f64;
+    let entry_us_per_task = cpu_us / tasks.max(1) as f64;
+    Ok(Flood {
+        tasks_per_job,
+        tasks,
+        starts_per_s: tasks as f64 / elapsed,
+        entry_us_per_task,
+        starts_per_core_s: 1e6 / entry_us_per_task.max(0.001),
+    })
+}
+
+/// Links as an agent with many slots and answers each start at once.
+pub fn stand_in(i: usize, addr: SocketAddr) {
+    let node = NodeRef {
+        name: format!("stand-in-{i}").into(),
+        incarnation: rw_host::clock::wall().0,
+    };
+    let (tx, rx) = flume::bounded::<LinkEvent>(64 * 1024);
+    let sink_tx: Sender<LinkEvent> = tx;
+    let linker = Linker {
+        key: ClusterKey::new(SECRET),
+        hello: Hello {
+            node,
+            role: Role::Agent,
+            domain: "d0".into(),
+        },
+        sink: Arc::new(move |event| drop(sink_tx.send(event))),
+    };
+    std::thread::spawn(move || linker.dial(addr));
+    let current: Mutex<Option<Link>> = Mutex::new(None);
+    std::thread::spawn(move || {
+        for event in rx {
+            let mut link = current.lock().unwrap_or_else(PoisonError::into_inner);
+            match event {
+                LinkEvent::Up(up) => {
+                    offer(&up);
+                    *link = Some(up);
+                }
+                LinkEvent::Msg(_, Msg::ToAgent(ToAgent::Start(start))) => {
+                    if let Some(link) = &*link {
+                        link.send(Msg::ToEntry(done(&start)));
+                    }
+                }
+                LinkEvent::Msg(..) => {}
+                LinkEvent::Down(_) => return,
+            }
+        }
+    });
+}
+
+fn offer(link: &Link) {
+    let size = Needs {
+        cores: 16,
+        memory_mb: 65_536,
+        accelerators: 1,
+    };
+    let services = vec![SERVICE.into()];
+    let offer = Offer {
+        epoch: EPOCH,
+        services,
+        slots: SLOTS,
+        size,
+        leaving: false,
+    };
+    link.send(Msg::ToEntry(ToEntry::Offer(offer)));
+    link.send(Msg::ToEntry(ToEntry::Grant {
+        credits: SLOTS,
+        epoch: EPOCH,
+    }));
+}
+
+fn done(start: &Start) -> ToEntry {
+    let task = TaskRef {
+        key: start.key,
+        attempt: start.attempt,
+        index: start.index,
+        dispatch: start.dispatch,
+    };
+    // A stand-in backend server answers with the echo field of its payload.
+    let text = String::from_utf8_lossy(&start.payload);
+    let echo = text.rsplit_once("echo=").map_or("", |(_, echo)| echo);
+    ToEntry::Done {
+        task,
+        digest: task_digest(start.key, start.index, &start.payload),
+        run_us: 1000,
+        result: TaskResult::Done(echo.as_bytes().into()),
+        credit: true,
+        epoch: EPOCH,
+    }
+}
--- /dev/null
+++ b/crates/load/src/ideal.rs
@@ -0,0 +1,62 @@
+//! The ideal: one central queue that knows every worker's speed and pays for no message.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use crate::caller::Job;
+
+/// Response times of all jobs, first come first served, each task on the fastest free slot.
+pub fn response_times(jobs: &[Job], speeds: &[f64], slots: u32) -> Vec<Duration> {
+    let mut free: Vec<f64> = speeds
+        .iter()
+        .flat_map(|s| (0..slots).map(move |_| *s))
+        .collect();
+    free.sort_by(f64::total_cmp);
+    let mut busy: BinaryHeap<Reverse<(Duration, u64)>> = BinaryHeap::new();
+    let mut ends = Vec::new();
+    for job in jobs {
+        let mut now = job.at;
+        let mut end = job.at;
+        for run in &job.runs {
+            release(&mut busy, &mut free, now);
+            if free.is_empty()
+                && let Some(Reverse((next, _))) = busy.peek()
+            {
+                now = now.max(*next);
+                release(&mut busy, &mut free, now);
+            }
+            let speed = free.pop().unwrap_or(1.0);
+            let done = now + run.div_f64(speed);
+            busy.push(Reverse((done, speed.to_bits())));
+            end = end.max(done);
+        }
+        ends.push(end.saturating_sub(job.at));
+    }
+    ends
+}
+
+fn release(busy: &mut BinaryHeap<Reverse<(Duration, u64)>>, free: &mut Vec<f64>, now: Duration) {
+    let before = free.len();
+    while let Some(Reverse((end, speed))) = busy.peek().copied()
+        && end <= now
+    {
+        busy.pop();
+        free.push(f64::from_bits(speed));
+    }
+    if free.len() != before {
+        free.sort_by(f64::total_cmp);
+    }
+}
+
+/// The job's time on idle workers.
+pub fn alone(job: &Job, speeds: &[f64], slots: u32) -> Duration {
+    let alone = Job {
+        at: Duration::ZERO,
+        ..job.clone()
+    };
+    response_times(&[alone], speeds, slots)
+        .first()
+        .copied()
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/load/src/lab.rs
@@ -0,0 +1,512 @@
+//! A cluster of real processes on loopback, in a folder of its own. Only tests and measurements
+//! start processes; the system's own never do.
+
+use std::fmt::Write as _;
+use std::fs::{self, File};
+use std::io;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+
+use attohttpc::ProxySettings;
+use indexmap::IndexMap;
+use rustix::process::{Pid, Signal, kill_process};
+use rw_core::config::{Change, ChangeRequest, Service, Tenant};
+use rw_host::http::token_hash;
+use serde_json::Value;
+
+/// The operator's token in a laboratory.
+pub const OPERATOR: &str = "lab-operator";
+/// The callers' token in a laboratory, for all tenants.
+pub const CALLER: &str = "lab-caller";
+/// The service in a laboratory.
+pub const SERVICE: &str = "lab";
+const SECRET: &str = "laboratory-secret-0123456789";
+/// Ports below the range from which the system takes those of outgoing connections.
+const FIRST_PORT: u16 = 10_000;
+const LAST_PORT: u16 = 30_000;
+const PORTS_PER_NODE: u16 = 4;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// What a laboratory is made of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Control nodes.
+    pub controls: usize,
+    /// Entries.
+    pub entries: usize,
+    /// The speeds of the workers' backend servers, one each.
+    pub speeds: Vec<f64>,
+    /// Failure domains that the workers are spread over.
+    pub domains: usize,
+    /// Tasks that a backend server runs at once.
+    pub slots: u32,
+    /// Further settings of the entries.
+    pub entry_settings: String,
+    /// Further settings of the agents.
+    pub agent_settings: String,
+    /// Tenants and their weights.
+    pub tenants: Vec<(&'static str, u32)>,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            controls: 1,
+            entries: 2,
+            speeds: vec![1.0; 3],
+            domains: 3,
+            slots: 8,
+            entry_settings: String::new(),
+            agent_settings: String::new(),
+            tenants: vec![("t1", 1)],
+        }
+    }
+}
+
+/// A running cluster; its processes are killed when it is dropped.
+#[derive(Debug)]
+pub struct Lab {
+    /// Where its files are.
+    pub dir: PathBuf,
+    plan: Plan,
+    bin: PathBuf,
+    ports: IndexMap<String, u16>,
+    children: IndexMap<String, Child>,
+}
+
+impl Lab {
+    /// Starts the cluster and waits until every entry is ready.
+    pub fn start(plan: Plan) -> io::Result<Self> {
+        let mut lab = Self::prepare(plan)?;
+        lab.run("c0", "rw-control", &["--init"])?.wait()?;
+        for i in 0..lab.plan.controls {
+            lab.start_node(&format!("c{i}"))?;
+        }
+        for i in 0..lab.plan.entries {
+            lab.start_node(&format!("e{i}"))?;
+        }
+        for i in 0..lab.plan.speeds.len() {
+            lab.start_node(&format!("w{i}"))?;
+            lab.start_backend(i, &[])?;
+        }
+        lab.configure()?;
+        for i in 0..lab.plan.entries {
+            lab.wait_ready(&format!("e{i}"), Duration::from_secs(30))?;
+        }
+        lab.wait_for(
+            Duration::from_secs(30),
+            "placement settled",
+            Lab::is_settled,
+        )?;
+        std::thread::sleep(Duration::from_millis(700));
+        Ok(lab)
+    }
+
+    fn prepare(plan: Plan) -> io::Result<Self> {
+        let id = fastrand::u32(..);
+        let dir = std::env::temp_dir().join(format!("redwingwick-lab-{}-{id}", std::process::id()));
+        fs::create_dir_all(&dir)?;
+        let exe = std::env::current_exe()?;
+        let folder = exe.parent().map(Path::to_path_buf).unwrap_or_default();
+        let bin = if folder.ends_with("deps") {
+            folder.join("..")
+        } else {
+            folder
+        };
+        let mut lab = Self {
+            dir,
+            plan,
+            bin,
+            ports: IndexMap::new(),
+            children: IndexMap::new(),
+        };
+        let names = |letter: char, count: usize| (0..count).map(move |i| format!("{letter}{i}"));
+        let controls: Vec<String> = names('c', lab.plan.controls).collect();
+        let others = names('e', lab.plan.entries).chain(names('w', lab.plan.speeds.len()));
+        for name in controls.iter().cloned().chain(others).collect::<Vec<_>>() {
+            lab.ports.insert(name, free_ports()?);
+        }
+        for name in lab.ports.keys().cloned().collect::<Vec<_>>() {
+            lab.write_settings(&name, &controls)?;
+        }
+        Ok(lab)
+    }
+
+    fn write_settings(&self, name: &str, controls: &[String]) -> io::Result<()> {
+        let port = self.port(name);
+        let number: usize = name[1..].parse().unwrap_or(0);
+        let seeds: Vec<String> = controls
+            .iter()
+            .map(|c| format!("\"127.0.0.1:{}\"", self.port(c) + 1))
+            .collect();
+        let mut text = format!(
+            "[node]\nname = \"{name}\"\ndomain = \"d{}\"\nlink = \"127.0.0.1:{port}\"\n\
+             gossip = \"127.0.0.1:{}\"\nhttp = \"127.0.0.1:{}\"\nseeds = [{}]\n\
+             cluster_secret = \"{SECRET}\"\n[log]\nlevel = \"info\"\n",
+            number % self.plan.domains.max(1),
+            port + 1,
+            port + 2,
+            seeds.join(", "),
+        );
+        match &name[..1] {
+            "c" => {
+                let data = self.dir.join(name);
+                fs::create_dir_all(&data)?;
+                let hash = token_hash(OPERATOR);
+                let _ = writeln!(
+                    text,
+                    "[control]\ndata = {data:?}\noperator_token_hashes = [\"{hash}\"]"
+                );
+                let _ = writeln!(text, "[control.peers]");
+                for control in controls {
+                    let _ = writeln!(text, "{control} = \"127.0.0.1:{}\"", self.port(control));
+                }
+            }
+            "e" => text.push_str(&self.plan.entry_settings),
+            _ => text.push_str(&self.plan.agent_settings),
+        }
+        fs::write(self.settings(name), text)
+    }
+
+    fn settings(&self, name: &str) -> PathBuf {
+        self.dir.join(format!("{name}.toml"))
+    }
+
+    fn port(&self, name: &str) -> u16 {
+        self.ports.get(name).copied().unwrap_or(0)
+    }
+
+    /// A node's HTTP address.
+    pub fn http(&self, name: &str) -> String {
+        format!("127.0.0.1:{}", self.port(name) + 2)
+    }
+
+    /// A node's link address.
+    pub fn link(&self, name: &str) -> String {
+        format!("127.0.0.1:{}", self.port(name))
+    }
+
+    /// A node's gossip address.
+    pub fn gossip(&self, name: &str) -> String {
+        format!("127.0.0.1:{}", self.port(name) + 1)
+    }
+
+    /// Names of the entries' HTTP addresses.
+    pub fn entries(&self) -> Vec<String> {
+        (0..self.plan.entries)
+            .map(|i| self.http(&format!("e{i}")))
+            .collect()
+    }
+
+    /// Names of all running processes.
+    pub fn running(&self) -> Vec<String> {
+        self.children.keys().cloned().collect()
+    }
+
+    fn run(&self, name: &str, program: &str, args: &[&str]) -> io::Result<Child> {
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.dir.join(format!("{name}.log")))?;
+        let mut command = Command::new(self.bin.join(program));
+        if program != "rw-backend" {
+            command.arg("--settings").arg(self.settings(name));
+        }
+        command.args(args).stdout(Stdio::null()).stderr(log).spawn()
+    }
+
+    /// Starts a control node, an entry or an agent.
+    pub fn start_node(&mut self, name: &str) -> io::Result<()> {
+        let program = match &name[..1] {
+            "c" => "rw-control",
+            "e" => "rw-entry",
+            _ => "rw-agent",
+        };
+        let child = self.run(name, program, &[])?;
+        self.children.insert(name.into(), child);
+        Ok(())
+    }
+
+    /// Starts the backend server beside a worker's agent.
+    pub fn start_backend(&mut self, i: usize, more: &[&str]) -> io::Result<()> {
+        let (worker, name) = (format!("w{i}"), format!("b{i}"));
+        let listen = format!("127.0.0.1:{}", self.port(&worker) + 3);
+        let agent = self.http(&worker);
+        let (speed, slots) = (self.plan.speeds[i].to_string(), self.plan.slots.to_string());
+        let journal = self.dir.join("starts").display().to_string();
+        let mut args = vec![
+            "--listen",
+            &listen,
+            "--agent",
+            &agent,
+            "--name",
+            &name,
+            "--service",
+            SERVICE,
+            "--speed",
+            &speed,
+            "--slots",
+            &slots,
+            "--journal",
+            &journal,
+        ];
+        args.extend(more);
+        let child = self.run(&name, "rw-backend", &args)?;
+        self.children.insert(name, child);
+        Ok(())
+    }
+
+    /// Sends a signal to a process.
+    pub fn signal(&self, name: &str, signal: Signal) {
+        let pid = self
+            .children
+            .get(name)
+            .and_then(|child| Pid::from_raw(child.id() as i32));
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Kills a process at once.
+    pub fn kill(&mut self, name: &str) {
+        if let Some(mut child) = self.children.swap_remove(name) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits for a process to end by itself. Returns whether it did so with success.
+    pub fn wait_end(&mut self, name: &str, time: Duration) -> Option<bool> {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            if let Some(status) = self.children.get_mut(name)?.try_wait().ok()? {
+                self.children.swap_remove(name);
+                return Some(status.success());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+
+    /// Whether a process still runs.
+    pub fn is_running(&mut self, name: &str) -> bool {
+        self.children
+            .get_mut(name)
+            .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// The identifier of a process.
+    pub fn pid(&self, name: &str) -> Option<u32> {
+        self.children.get(name).map(Child::id)
+    }
+
+    fn configure(&self) -> io::Result<()> {
+        self.change(Change::PutService {
+            name: SERVICE.into(),
+            service: Service::default(),
+        })?;
+        for (name, weight) in &self.plan.tenants {
+            let token_hashes = vec![token_hash(CALLER)];
+            let tenant = Tenant {
+                weight: *weight,
+                rate: 0,
+                concurrency: 0,
+                token_hashes,
+            };
+            self.change(Change::PutTenant {
+                name: (*name).into(),
+                tenant,
+            })?;
+        }
+        Ok(())
+    }
+
+    /// Makes a change at whichever control node leads. Returns the new revision.
+    pub fn change(&self, change: Change) -> io::Result<u64> {
+        let req = ChangeRequest {
+            request_id: uuid::Uuid::now_v7(),
+            base: u64::MAX,
+            change,
+        };
+        self.request(&req)
+    }
+
+    /// Sends a change request until a control node takes it.
+    pub fn request(&self, req: &ChangeRequest) -> io::Result<u64> {
+        let body = serde_json::to_string(req).map_err(io::Error::other)?;
+        let until = Instant::now() + Duration::from_secs(20);
+        let mut last = String::new();
+        while Instant::now() < until {
+            for i in 0..self.plan.controls {
+                let url = format!("http://{}/v1/changes", self.http(&format!("c{i}")));
+                match http("POST", &url, OPERATOR, Some(&body)) {
+                    Ok((200, text)) => return Ok(revision_in(&text)),
+                    Ok((409 | 422, text)) => return Err(io::Error::other(text)),
+                    Ok((_, text)) => last = text,
+                    Err(e) => last = e.to_string(),
+                }
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        Err(io::Error::other(format!(
+            "no control node took the change: {last}"
+        )))
+    }
+
+    /// The status that some control node gives.
+    pub fn status(&self) -> Option<Value> {
+        (0..self.plan.controls).find_map(|i| {
+            let url = format!("http://{}/v1/status", self.http(&format!("c{i}")));
+            let (status, text) = http("GET", &url, OPERATOR, None).ok()?;
+            (status == 200).then(|| serde_json::from_str(&text).ok())?
+        })
+    }
+
+    fn is_settled(&self) -> bool {
+        let Some(status) = self.status() else {
+            return false;
+        };
+        let shards = status["state"]["shards"]
+            .as_array()
+            .cloned()
+            .unwrap_or_default();
+        !shards.is_empty()
+            && shards
+                .iter()
+                .all(|shard| shard["settled"] == Value::Bool(true))
+    }
+
+    /// Waits until a node says that it is ready.
+    pub fn wait_ready(&self, name: &str, time: Duration) -> io::Result<()> {
+        let url = format!("http://{}/readyz", self.http(name));
+        self.wait_for(time, name, |_| {
+            matches!(http("GET", &url, "", None), Ok((200, _)))
+        })
+    }
+
+    /// Waits for a condition.
+    pub fn wait_for<F>(&self, time: Duration, what: &str, condition: F) -> io::Result<()>
+    where
+        F: Fn(&Self) -> bool,
+    {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            if condition(self) {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        Err(io::Error::other(format!(
+            "{what}: not within {time:?}, see {}",
+            self.dir.display()
+        )))
+    }
+
+    /// The sum of a metric of a node over all labels that hold `label`.
+    pub fn metric(&self, name: &str, metric: &str, label: &str) -> f64 {
+        let url = format!("http://{}/metrics", self.http(name));
+        let text = http("GET", &url, "", None)
+            .map(|(_, text)| text)
+            .unwrap_or_default();
+        let of = |line: &&str| {
+            line.strip_prefix(metric)
+                .is_some_and(|rest| rest.starts_with(['{', ' ']))
+                && line.contains(label)
+        };
+        let value = |line: &str| {
+            line.rsplit(' ')
+                .next()
+                .and_then(|value| value.parse::<f64>().ok())
+        };
+        text.lines().filter(of).filter_map(value).sum()
+    }
+
+    /// Processor time of a process so far.
+    pub fn cpu(&self, name: &str) -> Duration {
+        let read = || -> Option<u64> {
+            let stat = fs::read_to_string(format!("/proc/{}/stat", self.pid(name)?)).ok()?;
+            let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+            Some(fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?)
+        };
+        Duration::from_millis(read().unwrap_or(0) * 10)
+    }
+
+    /// Resident memory of a process in bytes.
+    pub fn memory(&self, name: &str) -> u64 {
+        let read = || -> Option<u64> {
+            let text = fs::read_to_string(format!("/proc/{}/statm", self.pid(name)?)).ok()?;
+            text.split_whitespace().nth(1)?.parse::<u64>().ok()
+        };
+        read().unwrap_or(0) * 4096
+    }
+
+    /// Starts that backend servers recorded, by `job task`.
+    pub fn starts(&self) -> IndexMap<String, u32> {
+        let text = fs::read_to_string(self.dir.join("starts")).unwrap_or_default();
+        let mut starts = IndexMap::new();
+        for line in text.lines() {
+            let id = line.rsplit_once(' ').map_or(line, |(id, _)| id);
+            *starts.entry(id.to_owned()).or_default() += 1;
+        }
+        starts
+    }
+}
+
+impl Drop for Lab {
+    fn drop(&mut self) {
+        for name in self.running() {
+            self.kill(&name);
+        }
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+/// The first of a few free ports in a row.
+fn free_ports() -> io::Result<u16> {
+    let count = (LAST_PORT - FIRST_PORT) / PORTS_PER_NODE;
+    let seed = (std::process::id() as u16).wrapping_mul(37) % count;
+    for _ in 0..count {
+        let at = (seed + NEXT_PORT.fetch_add(1, Ordering::Relaxed)) % count;
+        let port = FIRST_PORT + at * PORTS_PER_NODE;
+        if (port..port + PORTS_PER_NODE).all(|port| TcpListener::bind(("127.0.0.1", port)).is_ok())
+        {
+            return Ok(port);
+        }
+    }
+    Err(io::Error::other("no free ports"))
+}
+
+fn revision_in(text: &str) -> u64 {
+    let value: Value = serde_json::from_str(text).unwrap_or_default();
+    value["applied"]["revision"].as_u64().unwrap_or(0)
+}
+
+/// One HTTP call.
+pub fn http(
+    method: &str,
+    url: &str,
+    token: &str,
+    body: Option<&str>,
+) -> attohttpc::Result<(u16, String)> {
+    let req = match method {
+        "POST" => attohttpc::post(url),
+        "DELETE" => attohttpc::delete(url),
+        _ => attohttpc::get(url),
+    };
+    let req = req
+        .connect_timeout(Duration::from_secs(1))
+        .timeout(Duration::from_secs(8))
+        .proxy_settings(ProxySettings::builder().build())
+        .header("Authorization", format!("Bearer {token}"));
+    let response = match body {
+        Some(body) => req.text(body).send()?,
+        None => req.send()?,
+    };
+    Ok((response.status().as_u16(), response.text()?))
+}
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,8 +1,99 @@
 //! `rw-load`: load, replay and measurement.
 
-use rw_core::ids::JobKey;
-use rw_host::clock;
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
 
-fn main() {
-    println!("{}", JobKey::new(clock::wall(), fastrand::u128(..)));
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use rw_load::{bench, caller, flood, replay, slopes};
+
+fn main() -> ExitCode {
+    match run(&command().get_matches()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(e) => {
+            eprintln!("rw-load: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn command() -> Command {
+    let file = Arg::new("file")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("The trace");
+    let quick = Arg::new("quick")
+        .long("quick")
+        .action(ArgAction::SetTrue)
+        .help("Only the chosen policy");
+    let workers = Arg::new("workers")
+        .long("workers")
+        .value_delimiter(',')
+        .value_parser(value_parser!(usize))
+        .help("Numbers of workers");
+    Command::new("rw-load")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Load, replay and measurement")
+        .subcommand_required(true)
+        .subcommand(Command::new("key").about("Prints a new job key"))
+        .subcommand(
+            Command::new("bench")
+                .about("The four measures for each dispatch policy")
+                .arg(quick),
+        )
+        .subcommand(Command::new("flood").about("Task starts that one core of an entry carries"))
+        .subcommand(
+            Command::new("replay")
+                .about("Replays a trace against its stated outcomes")
+                .arg(file),
+        )
+        .subcommand(
+            Command::new("slopes")
+                .about("Cost of control at several sizes")
+                .arg(workers),
+        )
+}
+
+/// Runs a subcommand. `false` when a stated outcome was not met.
+fn run(matches: &ArgMatches) -> io::Result<bool> {
+    match matches.subcommand() {
+        Some(("key", _)) => println!("{}", caller::new_key()),
+        Some(("bench", args)) => {
+            bench::run_all_ways(args.get_flag("quick"))?;
+        }
+        Some(("flood", _)) => {
+            for tasks in [1, 40, 410] {
+                let flood = flood::run(8, 12, tasks, Duration::from_secs(5))?;
+                println!("{}", serde_json::to_string(&flood)?);
+            }
+        }
+        Some(("slopes", args)) => {
+            let sizes: Vec<usize> = args
+                .get_many("workers")
+                .into_iter()
+                .flatten()
+                .copied()
+                .collect();
+            for workers in if sizes.is_empty() {
+                slopes::WORKERS.to_vec()
+            } else {
+                sizes
+            } {
+                println!("{}", slopes::run(workers)?);
+            }
+        }
+        Some(("replay", args)) => {
+            let path = args.get_one::<PathBuf>("file").cloned().unwrap_or_default();
+            let differences = replay::run(&path)?;
+            for difference in &differences {
+                println!("{}: {difference}", path.display());
+            }
+            println!("{}: {} differences", path.display(), differences.len());
+            return Ok(differences.is_empty());
+        }
+        _ => {}
+    }
+    Ok(true)
 }
--- /dev/null
+++ b/crates/load/src/replay.rs
@@ -0,0 +1,144 @@
+//! Replay of recorded traces against stated outcomes. The format is in `docs/TESTING.md`.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+
+use crate::caller::{End, Job, run_all};
+use crate::lab::{Lab, Plan};
+
+/// The first line of a trace: the cluster that it is replayed on and the stated outcomes.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Header {
+    /// Speeds of the workers.
+    speeds: Vec<f64>,
+    /// Numbers of the workers that fail everything.
+    #[serde(default)]
+    bad_workers: Vec<usize>,
+    /// The stated outcomes: least and greatest share of each group and end.
+    expect: Vec<Expect>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Expect {
+    /// The group of jobs.
+    group: String,
+    /// The end: `whole`, `not-run`, `unknown`, `lost` or `wrong`.
+    end: String,
+    /// The least share.
+    #[serde(default)]
+    least: f64,
+    /// The greatest share.
+    #[serde(default = "whole_share")]
+    most: f64,
+}
+
+fn whole_share() -> f64 {
+    1.0
+}
+
+/// A job, one line each.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Recorded {
+    at_ms: u64,
+    tenant: String,
+    class: String,
+    deadline_ms: u64,
+    runs_ms: Vec<u64>,
+    #[serde(default)]
+    group: String,
+}
+
+/// Replays a trace. Returns the differences from the stated outcomes.
+pub fn run(path: &Path) -> io::Result<Vec<String>> {
+    let text = fs::read_to_string(path)?;
+    let mut lines = text.lines();
+    let header: Header = serde_json::from_str(lines.next().unwrap_or_default())?;
+    let recorded: Vec<Recorded> = lines
+        .map(serde_json::from_str)
+        .collect::<Result<_, _>>()
+        .map_err(io::Error::other)?;
+    let jobs: Vec<Job> = recorded.iter().map(job_of).collect();
+    let plan = Plan {
+        speeds: header.speeds.clone(),
+        tenants: vec![("t1", 1), ("t2", 1)],
+        ..Plan::default()
+    };
+    let mut lab = Lab::start(plan)?;
+    for worker in &header.bad_workers {
+        lab.kill(&format!("b{worker}"));
+        lab.start_backend(*worker, &["--fail"])?;
+    }
+    if !header.bad_workers.is_empty() {
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    let entries = lab.entries();
+    let outcomes = run_all(&jobs, |i| entries[i % entries.len()].clone());
+    let mut counts: IndexMap<(String, String), f64> = IndexMap::new();
+    let mut sizes: IndexMap<String, f64> = IndexMap::new();
+    for (recorded, outcome) in recorded.iter().zip(&outcomes) {
+        *sizes.entry(recorded.group.clone()).or_default() += 1.0;
+        *counts
+            .entry((recorded.group.clone(), end_name(outcome.end)))
+            .or_default() += 1.0;
+    }
+    let doubled = lab.starts().values().filter(|count| **count > 1).count();
+    let mut differences: Vec<String> = header
+        .expect
+        .iter()
+        .filter_map(|expect| compare(expect, &counts, &sizes))
+        .collect();
+    if doubled > 0 {
+        differences.push(format!("{doubled} tasks started twice"));
+    }
+    Ok(differences)
+}
+
+fn compare(
+    expect: &Expect,
+    counts: &IndexMap<(String, String), f64>,
+    sizes: &IndexMap<String, f64>,
+) -> Option<String> {
+    let size = sizes.get(&expect.group).copied().unwrap_or(0.0);
+    let count = counts
+        .get(&(expect.group.clone(), expect.end.clone()))
+        .copied()
+        .unwrap_or(0.0);
+    let share = count / size.max(1.0);
+    let within = size > 0.0 && share >= expect.least && share <= expect.most;
+    (!within).then(|| {
+        format!(
+            "group {:?}: {} is {share:.3} of {size}, stated {} to {}",
+            expect.group, expect.end, expect.least, expect.most
+        )
+    })
+}
+
+fn end_name(end: End) -> String {
+    serde_json::to_value(end)
+        .ok()
+        .and_then(|v| v.as_str().map(String::from))
+        .unwrap_or_default()
+}
+
+fn job_of(recorded: &Recorded) -> Job {
+    Job {
+        at: Duration::from_millis(recorded.at_ms),
+        tenant: recorded.tenant.clone(),
+        long: recorded.class == "long",
+        deadline: Duration::from_millis(recorded.deadline_ms),
+        runs: recorded
+            .runs_ms
+            .iter()
+            .map(|ms| Duration::from_millis(*ms))
+            .collect(),
+        declared_factor: None,
+    }
+}
--- /dev/null
+++ b/crates/load/src/workload.rs
@@ -0,0 +1,137 @@
+//! Loads: arrivals, job sizes and run times, all from a seed.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use crate::caller::Job;
+
+/// Share of tasks that run ten times longer than the others.
+const STRAGGLERS: f64 = 0.01;
+const STRAGGLER_FACTOR: f64 = 10.0;
+
+/// Run times of a job's tasks: 50 ms to a second, now and then a straggler.
+fn run_time(rng: &mut Rng) -> Duration {
+    let ms = 50.0 + 950.0 * rng.f64() * rng.f64();
+    let factor = if rng.f64() < STRAGGLERS {
+        STRAGGLER_FACTOR
+    } else {
+        1.0
+    };
+    Duration::from_secs_f64(ms * factor / 1000.0)
+}
+
+/// A job's size: mostly few tasks, now and then up to 410.
+fn size(rng: &mut Rng) -> usize {
+    match rng.u32(0..100) {
+        0..50 => rng.usize(1..=4),
+        50..85 => rng.usize(5..=40),
+        85..98 => rng.usize(41..=100),
+        _ => rng.usize(101..=410),
+    }
+}
+
+/// Jobs of 1 to 410 tasks that bring `load` seconds of work a second for `time`.
+pub fn mixed(seed: u64, load: f64, time: Duration, declared_factor: Option<f64>) -> Vec<Job> {
+    let mut rng = Rng::with_seed(seed);
+    let mut jobs = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < time {
+        let runs: Vec<Duration> = (0..size(&mut rng)).map(|_| run_time(&mut rng)).collect();
+        let factor = declared_factor.map(|f| if rng.bool() { f } else { 1.0 / f });
+        let job = Job {
+            at,
+            tenant: if jobs.len() % 2 == 0 { "t1" } else { "t2" }.into(),
+            long: false,
+            deadline: Duration::from_secs(60),
+            runs,
+            declared_factor: factor,
+        };
+        // The next job comes when this one's work is due at that load, give or take.
+        let mean_work = 20.0 * 0.29 * 1.09;
+        at += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() * mean_work / load);
+        jobs.push(job);
+    }
+    scale_times(&mut jobs, load, time);
+    jobs
+}
+
+/// Stretches the arrival times so that the load is exact over the whole time.
+fn scale_times(jobs: &mut [Job], load: f64, time: Duration) {
+    let work: f64 = jobs.iter().map(|job| job.work().as_secs_f64()).sum();
+    let last = jobs
+        .last()
+        .map_or(time, |job| job.at)
+        .as_secs_f64()
+        .max(0.001);
+    let factor = work / load / last;
+    for job in jobs {
+        job.at = job.at.mul_f64(factor);
+    }
+}
+
+/// Small jobs whose load swings from `low` to `high` within two seconds and back, `swings` times.
+pub fn crest(seed: u64, low: f64, high: f64, swings: u32, deadline: Duration) -> Vec<Job> {
+    let mut rng = Rng::with_seed(seed);
+    let period = 8.0;
+    let load_at = |t: f64| match t % period {
+        t if t < 2.0 => low,
+        t if t < 4.0 => low + (high - low) * (t - 2.0) / 2.0,
+        t if t < 6.0 => high,
+        t => high - (high - low) * (t - 6.0) / 2.0,
+    };
+    let mut jobs = Vec::new();
+    let mut at = 0.0;
+    while at < period * f64::from(swings) {
+        let runs: Vec<Duration> = (0..rng.usize(1..=20))
+            .map(|_| Duration::from_millis(rng.u64(100..=300)))
+            .collect();
+        let work: f64 = runs.iter().map(Duration::as_secs_f64).sum();
+        let tenant = if jobs.len() % 2 == 0 { "t1" } else { "t2" }.into();
+        let at_time = Duration::from_secs_f64(at);
+        jobs.push(Job {
+            at: at_time,
+            tenant,
+            long: false,
+            deadline,
+            runs,
+            declared_factor: None,
+        });
+        at += work / load_at(at);
+    }
+    jobs
+}
+
+/// Single short tasks at `load`, and with `long_load` above 0 long tasks besides.
+pub fn short_behind_long(seed: u64, load: f64, long_load: f64, time: Duration) -> Vec<Job> {
+    let mut rng = Rng::with_seed(seed);
+    let mut jobs = Vec::new();
+    let run = Duration::from_millis(100);
+    let mut at = 1.5;
+    while at < time.as_secs_f64() {
+        jobs.push(Job {
+            at: Duration::from_secs_f64(at),
+            tenant: "t1".into(),
+            long: false,
+            deadline: Duration::from_secs(20),
+            runs: vec![run],
+            declared_factor: None,
+        });
+        at += -(1.0 - rng.f64()).ln() * run.as_secs_f64() / load;
+    }
+    let mut at = 0.0;
+    while long_load > 0.0 && at < time.as_secs_f64() {
+        let runs = vec![Duration::from_secs(3); 10];
+        jobs.push(Job {
+            at: Duration::from_secs_f64(at),
+            tenant: "t2".into(),
+            long: true,
+            deadline: Duration::from_secs(60),
+            runs,
+            declared_factor: None,
+        });
+        at += 30.0 / long_load;
+    }
+    jobs.sort_by_key(|job| job.at);
+    jobs
+}
