--- /dev/null
+++ b/crates/core/tests/members.rs
@@ -0,0 +1,169 @@
+//! Membership under loss, deaths, restarts and healed cuts.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use rw_core::ids::NodeRef;
+use rw_core::members::{Gossip, Member, MemberState, Members, Outgoing};
+use rw_core::msg::Role;
+
+const COUNT: u16 = 30;
+const TICK: Duration = Duration::from_millis(50);
+
+struct Net {
+    now: Instant,
+    nodes: Vec<Option<Members>>,
+    wire: VecDeque<(SocketAddr, SocketAddr, Gossip)>,
+    rng: Rng,
+    /// Datagrams lost, in percent.
+    loss: u32,
+    /// Nodes below this number hear nothing of the others.
+    cut: u16,
+}
+
+fn addr(i: u16) -> SocketAddr {
+    ([127, 0, 0, 1], 1000 + i).into()
+}
+
+fn member(i: u16, incarnation: u64) -> Member {
+    Member {
+        node: NodeRef {
+            name: format!("n{i}").into(),
+            incarnation,
+        },
+        version: 1,
+        role: Role::Agent,
+        domain: "d".into(),
+        gossip: addr(i),
+        link: addr(i),
+        http: addr(i),
+        state: MemberState::Alive,
+        leaving: false,
+        ready_for: 0,
+    }
+}
+
+impl Net {
+    fn new(loss: u32) -> Self {
+        let mut net = Self {
+            now: Instant::now(),
+            nodes: Vec::new(),
+            wire: VecDeque::new(),
+            rng: Rng::with_seed(3),
+            loss,
+            cut: 0,
+        };
+        for i in 0..COUNT {
+            net.nodes.push(None);
+            net.restart(i, 1);
+        }
+        net.run(Duration::from_secs(10));
+        net
+    }
+
+    fn restart(&mut self, i: u16, incarnation: u64) {
+        let seeds = vec![addr(0), addr(1)];
+        let rng = Rng::with_seed(u64::from(i));
+        self.nodes[i as usize] = Some(Members::new(member(i, incarnation), seeds, rng));
+    }
+
+    fn send(&mut self, from: SocketAddr, out: Vec<Outgoing>) {
+        for (to, gossip) in out {
+            let sides = [from, to].map(|addr| addr.port() - 1000 < self.cut);
+            if self.rng.u32(0..100) >= self.loss && sides[0] == sides[1] {
+                self.wire.push_back((from, to, gossip));
+            }
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += TICK;
+            for i in 0..COUNT {
+                let now = self.now;
+                let out = self.nodes[i as usize].as_mut().map(|node| node.tick(now));
+                self.send(addr(i), out.unwrap_or_default());
+            }
+            while let Some((from, to, gossip)) = self.wire.pop_front() {
+                let now = self.now;
+                let node = self.nodes[(to.port() - 1000) as usize].as_mut();
+                let out = node.map(|node| node.on_gossip(now, from, gossip));
+                self.send(to, out.unwrap_or_default());
+            }
+        }
+    }
+
+    /// How many nodes see `of` in this state.
+    fn seen(&self, of: u16, state: MemberState, incarnation: u64) -> usize {
+        let name = format!("n{of}");
+        let sees = |node: &&Members| {
+            node.list().iter().any(|m| {
+                *m.node.name == *name && m.state == state && m.node.incarnation == incarnation
+            })
+        };
+        self.nodes.iter().flatten().filter(sees).count()
+    }
+}
+
+#[test]
+fn all_find_one_another_and_none_is_suspected_for_long_under_loss() {
+    let mut net = Net::new(10);
+    net.run(Duration::from_secs(20));
+    let alive: usize = (0..COUNT).map(|i| net.seen(i, MemberState::Alive, 1)).sum();
+    let dead: usize = (0..COUNT).map(|i| net.seen(i, MemberState::Dead, 1)).sum();
+    assert_eq!(dead, 0, "a living member was declared dead");
+    assert!(
+        alive > (COUNT * COUNT) as usize * 9 / 10,
+        "{alive} of {} seen alive",
+        COUNT * COUNT
+    );
+}
+
+#[test]
+fn a_killed_process_is_declared_dead_everywhere_and_its_restart_is_seen() {
+    let mut net = Net::new(0);
+    net.nodes[7] = None;
+    net.run(Duration::from_secs(12));
+    assert_eq!(net.seen(7, MemberState::Dead, 1), COUNT as usize - 1);
+    net.restart(7, 2);
+    net.run(Duration::from_secs(6));
+    assert_eq!(net.seen(7, MemberState::Alive, 2), COUNT as usize);
+}
+
+#[test]
+fn two_halves_that_were_cut_off_join_again() {
+    let mut net = Net::new(0);
+    net.cut = COUNT / 2;
+    net.run(Duration::from_secs(40));
+    let across = net.nodes[0].as_ref().unwrap().list();
+    let dead = across
+        .iter()
+        .filter(|m| m.state == MemberState::Dead)
+        .count();
+    assert!(dead >= COUNT as usize / 2 - 1, "{dead} dead while cut");
+    net.cut = 0;
+    net.run(Duration::from_secs(60));
+    for i in 0..COUNT {
+        assert_eq!(
+            net.seen(i, MemberState::Alive, 1),
+            COUNT as usize,
+            "n{i} is alive for all"
+        );
+    }
+}
+
+#[test]
+fn a_new_revision_is_told_and_every_later_datagram_carries_it() {
+    let mut net = Net::new(0);
+    let out = net.nodes[4].as_mut().unwrap().set_revision(9);
+    assert_eq!(out.len(), rw_core::members::REVISION_FANOUT);
+    assert!(out.iter().all(|(_, gossip)| gossip.revision == 9));
+    assert!(
+        net.nodes[4].as_mut().unwrap().set_revision(8).is_empty(),
+        "a revision never falls"
+    );
+    assert_eq!(net.nodes[4].as_ref().unwrap().revision(), 9);
+}
--- a/crates/load/src/bench.rs
+++ b/crates/load/src/bench.rs
@@ -70,8 +70,7 @@
 ];
 
 /// What is measured.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Measure {
     /// Response time against the ideal and wasted messages at 70% load.
     Steady,
@@ -85,11 +84,24 @@
     BadWorker,
 }
 
+impl Measure {
+    /// Its name in results and bounds.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Steady => "steady",
+            Self::Misdeclared => "misdeclared",
+            Self::Crest => "crest",
+            Self::Blocking => "blocking",
+            Self::BadWorker => "bad-worker",
+        }
+    }
+}
+
 /// One line of results. Ratios and shares, times in milliseconds.
 #[derive(Debug, Default, Serialize)]
 pub struct Line {
-    measure: String,
-    way: String,
+    measure: &'static str,
+    way: &'static str,
     values: Vec<(&'static str, f64)>,
 }
 
@@ -102,14 +114,15 @@
             .map(|(_, value)| *value)
     }
 
+    /// Whether it is of this measure and way.
+    pub fn is_of(&self, measure: Measure, way: &str) -> bool {
+        self.measure == measure.name() && self.way == way
+    }
+
     fn new(measure: Measure, way: &Way) -> Self {
-        let measure = serde_json::to_value(measure).ok();
-        let measure = measure
-            .and_then(|value| value.as_str().map(String::from))
-            .unwrap_or_default();
         Self {
-            measure,
-            way: way.name.into(),
+            measure: measure.name(),
+            way: way.name,
             values: Vec::new(),
         }
     }
--- /dev/null
+++ b/crates/load/src/bounds.rs
@@ -0,0 +1,81 @@
+//! Bounds of the benchmarks, from the stated targets, and the known faults that a run passes over.
+
+use std::fs;
+use std::path::Path;
+
+use crate::bench::{Line, Measure};
+
+/// One bound on one value of the chosen policy.
+struct Bound {
+    measure: Measure,
+    value: &'static str,
+    limit: Limit,
+}
+
+enum Limit {
+    Most(f64),
+    Least(f64),
+    /// At most this multiple of the same value in another measure of the run.
+    MostOf(f64, Measure),
+}
+
+const fn bound(measure: Measure, value: &'static str, limit: Limit) -> Bound {
+    Bound {
+        measure,
+        value,
+        limit,
+    }
+}
+
+const BOUNDS: [Bound; 9] = [
+    bound(Measure::Steady, "mean_ratio", Limit::Most(1.10)),
+    bound(Measure::Steady, "p99_ratio", Limit::Most(2.0)),
+    bound(Measure::Steady, "wasted_per_task", Limit::Most(0.1)),
+    bound(Measure::Steady, "agent_us_per_task", Limit::Most(150.0)),
+    bound(
+        Measure::Misdeclared,
+        "mean_ratio",
+        Limit::MostOf(1.10, Measure::Steady),
+    ),
+    bound(Measure::Crest, "useful_of_capacity", Limit::Least(0.95)),
+    bound(Measure::Crest, "refusal_p99_ms", Limit::Most(50.0)),
+    bound(Measure::Blocking, "behind_long_p99_ms", Limit::Most(100.0)),
+    bound(Measure::BadWorker, "drawn_after_2s", Limit::Most(0.02)),
+];
+
+/// The name of the file with known faults.
+pub const KNOWN_RED: &str = "KNOWN-RED.txt";
+
+/// Prints each bound's verdict. Returns whether all that are beyond are known.
+pub fn check(lines: &[Line], folder: &Path) -> bool {
+    let known = fs::read_to_string(folder.join(KNOWN_RED)).unwrap_or_default();
+    let mut good = true;
+    for bound in &BOUNDS {
+        let Some(value) = value_of(lines, bound.measure, bound.value) else {
+            continue;
+        };
+        let (within, limit) = match &bound.limit {
+            Limit::Most(most) => (value <= *most, *most),
+            Limit::Least(least) => (value >= *least, *least),
+            Limit::MostOf(factor, other) => {
+                let most = factor * value_of(lines, *other, bound.value).unwrap_or(f64::INFINITY);
+                (value <= most, most)
+            }
+        };
+        let id = format!("bench {}.{}", bound.measure.name(), bound.value);
+        let is_known = known.lines().any(|line| line.starts_with(&id));
+        let verdict = match (within, is_known) {
+            (true, _) => "within",
+            (false, true) => "beyond, known",
+            (false, false) => "BEYOND",
+        };
+        good &= within || is_known;
+        println!("{id}: {value} against {limit}: {verdict}");
+    }
+    good
+}
+
+fn value_of(lines: &[Line], measure: Measure, value: &str) -> Option<f64> {
+    let line = lines.iter().find(|line| line.is_of(measure, "credits"))?;
+    line.value(value)
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -2,6 +2,7 @@
 //! load, the ideal that response times are compared with, and the benchmarks.
 
 pub mod bench;
+pub mod bounds;
 pub mod caller;
 pub mod flood;
 pub mod ideal;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,12 +1,12 @@
 //! `rw-load`: load, replay and measurement.
 
 use std::io;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use rw_load::{bench, caller, flood, replay, slopes, soak};
+use rw_load::{bench, bounds, caller, flood, replay, slopes, soak};
 
 fn main() -> ExitCode {
     match run(&command().get_matches()) {
@@ -72,7 +72,8 @@
     match matches.subcommand() {
         Some(("key", _)) => println!("{}", caller::new_key()),
         Some(("bench", args)) => {
-            bench::run_all_ways(args.get_flag("quick"))?;
+            let lines = bench::run_all_ways(args.get_flag("quick"))?;
+            return Ok(bounds::check(&lines, Path::new(".")));
         }
         Some(("flood", _)) => {
             for tasks in [1, 40, 410] {
