Entries lend one another idle credits; agent and fleet split by job

Cause of 1.2 wasted messages a task at 70% load: idle credits moved by recall, return and grant at every agent each time that the load moved from one entry to the other.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -1,20 +1,26 @@
 //! The decisions of an agent: its backend servers, its slots, its fence and its registry shards.
 
+mod backends;
+mod starts;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 
 use crate::config::ClusterState;
-use crate::fence::{Fence, TaskMemory, Verdict};
+use crate::fence::{Fence, TaskMemory};
 use crate::grants::{Grants, Move};
 use crate::ids::{Digest, Name, NodeRef, WallMs};
-use crate::job::{Needs, task_digest};
+use crate::job::Needs;
 use crate::msg::{Claim, Offer, RefusalReason, Start, TaskRef, TaskResult, ToAgent, ToEntry};
 use crate::registry::{Collect, Registry};
 
+pub use backends::Announcement;
+
+use backends::{Backend, largest};
+
 /// A backend server that does not renew its announcement for this long is gone.
 pub const ANNOUNCE_LEASE: Duration = Duration::from_millis(1500);
 /// A process that did nothing for this long was frozen: its credits are void.
@@ -22,50 +28,6 @@
 /// Time between two clean-ups of expired memory.
 const EXPIRE_EVERY: Duration = Duration::from_secs(5);
 
-/// What a backend server says of itself.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct Announcement {
-    /// Its name, unique on its VM.
-    pub name: Name,
-    /// Where it takes tasks, such as `http://127.0.0.1:9000`.
-    pub url: Name,
-    /// The services that it serves.
-    pub services: Vec<Name>,
-    /// Tasks that it runs at once.
-    pub slots: u32,
-    /// Connections that it accepts.
-    pub connections: u32,
-    /// Its size.
-    #[serde(default)]
-    pub size: Needs,
-    /// Whether it is leaving: it finishes what runs and gets nothing new.
-    #[serde(default)]
-    pub leaving: bool,
-}
-
-#[derive(Debug)]
-struct Backend {
-    announced: Announcement,
-    lease_until: Instant,
-    busy: u32,
-}
-
-impl Backend {
-    /// Slots that it offers now.
-    fn slots(&self) -> u32 {
-        if self.announced.leaving {
-            0
-        } else {
-            self.announced.slots.min(self.announced.connections)
-        }
-    }
-
-    fn can_run(&self, service: &Name) -> bool {
-        self.busy < self.slots() && self.announced.services.contains(service)
-    }
-}
-
 /// A call that an agent's adapter makes to a backend server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Run {
@@ -318,9 +280,15 @@
                 credits,
                 epoch,
                 backlog,
+                account,
+                held,
             } => {
-                let valid = if epoch == self.epoch { credits } else { 0 };
-                self.grants.give_back(entry, valid, backlog);
+                if epoch == self.epoch {
+                    self.grants
+                        .give_back(entry, &account, credits, held, backlog);
+                } else {
+                    self.grants.want(entry, backlog);
+                }
             }
             ToAgent::Query { tasks } => {
                 for task in tasks {
@@ -359,123 +327,6 @@
         self.move_credits(out);
     }
 
-    fn on_start(&mut self, wall: WallMs, entry: &Name, start: Start, out: &mut Vec<Action>) {
-        let task = TaskRef {
-            key: start.key,
-            attempt: start.attempt,
-            index: start.index,
-            dispatch: start.dispatch,
-        };
-        if self.queue_here.is_some() {
-            self.start_or_queue(wall, entry, start, out);
-            return;
-        }
-        let had_credit = start.epoch == self.epoch && self.grants.start(entry, start.backlog);
-        match self.decide(wall, had_credit, &start) {
-            Ok(backend) => {
-                let digest = task_digest(start.key, start.index, &start.payload);
-                self.fence.started(entry, task, digest);
-                out.push(Action::Run(self.run(entry, backend, task, digest, start)));
-            }
-            Err(reply) => {
-                if had_credit {
-                    self.grants.end(entry);
-                }
-                let msg = match reply {
-                    Verdict::Known(known) => {
-                        self.dropped += 1;
-                        self.tell(task, known)
-                    }
-                    Verdict::Refuse(reason) => ToEntry::Refused { task, reason },
-                    Verdict::Start => return,
-                };
-                out.push(Action::Send(entry.clone(), msg));
-            }
-        }
-    }
-
-    /// Runs a start when a slot is free, else lets it wait here.
-    fn start_or_queue(&mut self, wall: WallMs, entry: &Name, start: Start, out: &mut Vec<Action>) {
-        let task = TaskRef {
-            key: start.key,
-            attempt: start.attempt,
-            index: start.index,
-            dispatch: start.dispatch,
-        };
-        match self.decide(wall, true, &start) {
-            Ok(backend) => {
-                let digest = task_digest(start.key, start.index, &start.payload);
-                self.fence.started(entry, task, digest);
-                out.push(Action::Run(self.run(entry, backend, task, digest, start)));
-            }
-            Err(Verdict::Refuse(RefusalReason::NoBackend)) => {
-                if let Some(queue) = &mut self.queue_here {
-                    queue.push_back((entry.clone(), start));
-                }
-            }
-            Err(Verdict::Refuse(reason)) => {
-                out.push(Action::Send(
-                    entry.clone(),
-                    ToEntry::Refused { task, reason },
-                ));
-            }
-            Err(_) => self.dropped += 1,
-        }
-    }
-
-    fn start_queued(&mut self, out: &mut Vec<Action>) {
-        let queue = self.queue_here.as_mut();
-        if let Some((entry, start)) = queue.and_then(VecDeque::pop_front) {
-            let wall = start.key.created();
-            self.start_or_queue(wall, &entry, start, out);
-        }
-    }
-
-    /// The backend server to run on, or why the task does not start now.
-    fn decide(&self, wall: WallMs, had_credit: bool, start: &Start) -> Result<Name, Verdict> {
-        match self
-            .fence
-            .check(start, wall, self.cluster.preset().dedupe_window)
-        {
-            Verdict::Start => {}
-            other => return Err(other),
-        }
-        if !had_credit {
-            return Err(Verdict::Refuse(RefusalReason::StaleCredit));
-        }
-        if start.deadline_ms == 0 {
-            return Err(Verdict::Refuse(RefusalReason::TooLate));
-        }
-        self.backends
-            .iter()
-            .filter(|(_, backend)| backend.can_run(&start.service))
-            .min_by_key(|(_, backend)| backend.busy)
-            .map(|(name, _)| name.clone())
-            .ok_or(Verdict::Refuse(RefusalReason::NoBackend))
-    }
-
-    fn run(
-        &mut self,
-        entry: &Name,
-        name: Name,
-        task: TaskRef,
-        digest: Digest,
-        start: Start,
-    ) -> Run {
-        let backend = &mut self.backends[&name];
-        backend.busy += 1;
-        Run {
-            task,
-            digest,
-            url: backend.announced.url.clone(),
-            backend: name,
-            entry: entry.clone(),
-            service: start.service,
-            payload: start.payload,
-            timeout: Duration::from_millis(u64::from(start.deadline_ms)),
-        }
-    }
-
     /// A call to a backend server ended.
     pub fn on_end(&mut self, run: &Run, end: RunEnd, run_time: Duration, out: &mut Vec<Action>) {
         if let Some(backend) = self.backends.get_mut(&run.backend) {
@@ -602,11 +453,3 @@
         }
     }
 }
-
-fn largest(a: Needs, b: Needs) -> Needs {
-    Needs {
-        cores: a.cores.max(b.cores),
-        memory_mb: a.memory_mb.max(b.memory_mb),
-        accelerators: a.accelerators.max(b.accelerators),
-    }
-}
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod finish;
 mod links;
+mod loans;
 mod pump;
 mod recover;
 
@@ -278,6 +279,9 @@
     seen: Instant,
     turn: usize,
     next_want: Instant,
+    next_borrow: Instant,
+    /// Since when tasks of a service wait without a credit.
+    starved: IndexMap<Name, Instant>,
     next_second: Instant,
     rng: Rng,
 }
@@ -305,6 +309,8 @@
             seen: now,
             turn: 0,
             next_want: now,
+            next_borrow: now,
+            starved: IndexMap::new(),
             next_second: now,
             rng,
         }
@@ -395,6 +401,7 @@
         self.drop_overdue(now, out);
         self.tick_claims(now, out);
         self.tick_collections(now, out);
+        self.return_loans(now, out);
         if now.mono >= self.next_second {
             self.next_second = now.mono + Duration::from_secs(1);
             self.each_second(now, out);
--- a/crates/core/src/dispatcher/claims.rs
+++ b/crates/core/src/dispatcher/claims.rs
@@ -251,6 +251,8 @@
         match msg {
             Peer::Attach { key } => self.on_attach(entry, key, out),
             Peer::Attached { key, answer } => self.on_attached(now, entry, key, answer, out),
+            Peer::Borrow { service, tasks } => self.on_borrow(now, entry, &service, tasks, out),
+            Peer::Lent { loans } => self.on_lent(now, loans, out),
             Peer::Demand { tenants } => {
                 self.quotas.on_demand(now.mono, entry.name.clone(), tenants);
             }
--- a/crates/core/src/dispatcher/links.rs
+++ b/crates/core/src/dispatcher/links.rs
@@ -76,7 +76,7 @@
         match msg {
             ToEntry::Offer(offer) => self.fleet.on_offer(from, offer),
             ToEntry::Grant { credits, epoch } => self.fleet.grant(from, credits, epoch),
-            ToEntry::Recall { credits } => self.on_recall(from, credits, out),
+            ToEntry::Recall { credits } => self.on_recall(now, from, credits, out),
             ToEntry::Running { .. } => {}
             ToEntry::Refused { task, reason } => self.on_refused(now, from, task, reason, out),
             ToEntry::Done {
@@ -124,7 +124,7 @@
     }
 
     /// Gives idle credits back unless tasks wait for them.
-    fn on_recall(&mut self, from: &Name, credits: u32, out: &mut Vec<Action>) {
+    fn on_recall(&mut self, now: Now, from: &Name, credits: u32, out: &mut Vec<Action>) {
         let waiting: u32 = self
             .queues
             .values()
@@ -140,13 +140,16 @@
         };
         worker.credits -= idle;
         worker.declared = waiting;
-        let epoch = worker.offer.epoch;
+        let (epoch, held) = (worker.offer.epoch, worker.held(now.mono));
+        let account = self.me.name.clone();
         out.push(Action::Send(
             from.clone(),
             ToAgent::Return {
                 credits: idle,
                 epoch,
                 backlog: waiting,
+                account,
+                held,
             },
         ));
     }
--- a/crates/core/src/dispatcher/pump.rs
+++ b/crates/core/src/dispatcher/pump.rs
@@ -11,8 +11,6 @@
 
 /// Waiting jobs that are tried for a worker before the class is left alone.
 const CANDIDATES: usize = 8;
-/// Shortest time between two calls for credits.
-const WANT_EVERY: Duration = Duration::from_millis(10);
 /// Room for short work beyond its recent peak when long work is limited.
 const SHORT_MARGIN: f64 = 1.2;
 /// Share of the slots that long work never takes.
@@ -204,7 +202,10 @@
             expected,
             at: now.mono,
         };
-        self.fleet.start(&worker, sent, backlog);
+        let account = self
+            .fleet
+            .start(&worker, sent, backlog)
+            .unwrap_or_else(|| self.me.name.clone());
         let epoch = self
             .fleet
             .workers()
@@ -222,6 +223,7 @@
             index,
             dispatch,
             epoch,
+            account,
             service,
             deadline_ms,
             backlog,
@@ -241,19 +243,4 @@
             .and_then(|c| c.tenants.get(tenant))
             .map_or(1, |tenant| tenant.value.weight)
     }
-
-    /// Tells agents that do not know it yet that tasks wait here.
-    fn call_for_credits(&mut self, now: Now, service: &Name, out: &mut Vec<Action>) {
-        let Some(queue) = self.queues.get(service) else {
-            return;
-        };
-        let backlog = queue.total();
-        if backlog == 0 || now.mono < self.next_want || self.policy.mode != Mode::Credits {
-            return;
-        }
-        self.next_want = now.mono + WANT_EVERY;
-        for name in self.fleet.uninformed(now.mono, service, backlog) {
-            out.push(Action::Send(name, ToAgent::Want { backlog }));
-        }
-    }
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,5 +1,8 @@
 //! An entry's view of the workers: credits, learned speeds and health.
 
+mod health;
+mod loans;
+
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -8,6 +11,9 @@
 use crate::job::{Class, Needs};
 use crate::msg::{Offer, TaskRef};
 
+use health::Health;
+use loans::Borrowed;
+
 /// Credits of a worker that was silent for this long are not used.
 pub const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
 /// A worker is told again of a backlog that it was told of this long ago.
@@ -16,20 +22,6 @@
 const SPEED_RATE: f64 = 0.05;
 /// A single task moves a speed by at most this factor, as its natural logarithm.
 const MAX_SURPRISE: f64 = 1.5;
-/// Learning of a worker's failure rate.
-const FAILURE_RATE: f64 = 0.2;
-/// Tasks before a worker can be ejected.
-const MIN_TASKS_TO_JUDGE: u32 = 5;
-/// A worker that fails more than this share, and far more than its peers, is ejected.
-const EJECT_ABOVE: f64 = 0.5;
-/// Of a service's workers at most this share is ejected.
-const MAX_EJECTED_SHARE: f64 = 0.34;
-/// Time until an ejected worker is probed; doubles with each failed probe.
-const FIRST_EJECTION: Duration = Duration::from_secs(2);
-const MAX_EJECTION: Duration = Duration::from_secs(60);
-/// Probes that must succeed in a row.
-const PROBES_TO_RETURN: u32 = 3;
-
 /// A task that was sent to a worker.
 #[derive(Clone, Debug)]
 pub struct Sent {
@@ -45,16 +37,6 @@
     pub at: Instant,
 }
 
-#[derive(Debug, Default)]
-struct Health {
-    failures: f64,
-    seen: u32,
-    ejected_until: Option<Instant>,
-    ejections: u32,
-    /// Probes that succeeded since the last ejection; `None` when in full use.
-    probes: Option<u32>,
-}
-
 /// One worker as an entry sees it.
 #[derive(Debug)]
 pub struct Worker {
@@ -64,8 +46,12 @@
     pub first_seen: u64,
     /// What it offers.
     pub offer: Offer,
-    /// Credits in hand.
+    /// Own credits in hand.
     pub credits: u32,
+    /// Credits that other entries lent.
+    borrowed: Vec<Borrowed>,
+    /// Own credits that were lent, and when the last ones were.
+    lent: Option<(u32, Instant)>,
     /// Whether the link is up.
     pub up: bool,
     /// When it was last heard.
@@ -96,7 +82,7 @@
     }
 
     fn may_start(&self, now: Instant) -> bool {
-        if self.credits == 0 || now.duration_since(self.heard) >= SILENCE_LIMIT {
+        if self.total_credits() == 0 || now.duration_since(self.heard) >= SILENCE_LIMIT {
             return false;
         }
         match (self.health.ejected_until, self.health.probes) {
@@ -165,7 +151,7 @@
         if let Some(worker) = known {
             worker.up = true;
             worker.heard = now;
-            worker.credits = 0;
+            worker.void_credits();
             worker.declared = 0;
             return Vec::new();
         }
@@ -182,6 +168,8 @@
             first_seen: self.linked,
             offer,
             credits: 0,
+            borrowed: Vec::new(),
+            lent: None,
             up: true,
             heard: now,
             declared: 0,
@@ -217,7 +205,7 @@
     pub fn has_credit(&self, service: &Name) -> bool {
         self.workers
             .values()
-            .any(|w| w.credits > 0 && w.offer.services.contains(service))
+            .any(|w| w.total_credits() > 0 && w.offer.services.contains(service))
     }
 
     fn count_off(&mut self, sent: &Sent) {
@@ -230,7 +218,7 @@
     pub fn link_down(&mut self, name: &Name) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.up = false;
-            worker.credits = 0;
+            worker.void_credits();
         }
     }
 
@@ -238,7 +226,7 @@
     pub fn on_offer(&mut self, name: &Name, offer: Offer) {
         if let Some(worker) = self.workers.get_mut(name) {
             if offer.epoch != worker.offer.epoch {
-                worker.credits = 0;
+                worker.void_credits();
             }
             worker.offer = offer;
         }
@@ -328,7 +316,7 @@
             let serves = worker.up && worker.offer.services.contains(service);
             let knows =
                 worker.declared > 0 && now.duration_since(worker.declared_at) < REMIND_AFTER;
-            if serves && worker.credits == 0 && !knows && !worker.offer.leaving {
+            if serves && worker.total_credits() == 0 && !knows && !worker.offer.leaving {
                 worker.declared = backlog;
                 worker.declared_at = now;
                 names.push(worker.node.name.clone());
@@ -337,10 +325,11 @@
         names
     }
 
-    /// Notes a start and uses a credit.
-    pub fn start(&mut self, name: &Name, sent: Sent, backlog: u32) {
+    /// Notes a start and uses a credit. Returns the entry that it was granted to, if not this one.
+    pub fn start(&mut self, name: &Name, sent: Sent, backlog: u32) -> Option<Name> {
+        let mut account = None;
         if let Some(worker) = self.workers.get_mut(name) {
-            worker.credits = worker.credits.saturating_sub(1);
+            account = worker.use_credit();
             worker.declared_at = sent.at;
             worker.declared = backlog;
             *self
@@ -349,6 +338,7 @@
                 .or_default() += 1;
             worker.sent.insert((sent.task.key, sent.task.index), sent);
         }
+        account
     }
 
     /// Takes a task off a worker, if it is on it under this dispatch.
@@ -389,58 +379,6 @@
         worker.slowness += rate * surprise.clamp(-MAX_SURPRISE, MAX_SURPRISE);
     }
 
-    fn judge(&mut self, now: Instant, name: &Name, service: &Name, failed: bool) {
-        let peers = self.peer_failures(name, service);
-        let may_eject = self.may_eject_another(service);
-        let Some(worker) = self.workers.get_mut(name) else {
-            return;
-        };
-        let health = &mut worker.health;
-        health.seen += 1;
-        health.failures += FAILURE_RATE * (f64::from(u8::from(failed)) - health.failures);
-        if let Some(probes) = health.probes {
-            health.ejected_until = None;
-            health.probes = if failed { Some(0) } else { Some(probes + 1) };
-            if failed {
-                health.eject(now);
-            } else if probes + 1 >= PROBES_TO_RETURN {
-                *health = Health::default();
-            }
-            return;
-        }
-        let worse = health.failures > EJECT_ABOVE && health.failures > 3.0 * peers;
-        if worse && health.seen >= MIN_TASKS_TO_JUDGE && may_eject {
-            health.eject(now);
-        }
-    }
-
-    fn peer_failures(&self, name: &Name, service: &Name) -> f64 {
-        let peers = self.workers.values().filter(|worker| {
-            worker.node.name != *name
-                && worker.offer.services.contains(service)
-                && worker.health.probes.is_none()
-        });
-        let (count, sum) = peers.fold((0_u32, 0.0), |(count, sum), worker| {
-            (count + 1, sum + worker.health.failures)
-        });
-        if count == 0 {
-            1.0
-        } else {
-            sum / f64::from(count)
-        }
-    }
-
-    fn may_eject_another(&self, service: &Name) -> bool {
-        let serving = self
-            .workers
-            .values()
-            .filter(|w| w.up && w.offer.services.contains(service));
-        let (all, ejected) = serving.fold((0_u32, 0_u32), |(all, ejected), worker| {
-            (all + 1, ejected + u32::from(worker.health.probes.is_some()))
-        });
-        f64::from(ejected + 1) <= f64::from(all) * MAX_EJECTED_SHARE
-    }
-
     /// Slots of a service that this entry has in hand: credits and tasks that run.
     pub fn in_hand(&self, service: &Name) -> u32 {
         let serving = self
@@ -448,7 +386,7 @@
             .values()
             .filter(|w| w.up && w.offer.services.contains(service));
         serving
-            .map(|worker| worker.credits + worker.sent.len() as u32)
+            .map(|worker| worker.total_credits() + worker.sent.len() as u32)
             .sum()
     }
 
@@ -479,12 +417,3 @@
         });
     }
 }
-
-impl Health {
-    fn eject(&mut self, now: Instant) {
-        let time = FIRST_EJECTION * 2_u32.pow(self.ejections.min(5));
-        self.ejected_until = Some(now + time.min(MAX_EJECTION));
-        self.ejections += 1;
-        self.probes = Some(0);
-    }
-}
--- a/crates/core/src/grants.rs
+++ b/crates/core/src/grants.rs
@@ -7,7 +7,7 @@
 use crate::ids::Name;
 
 /// Ticks without a start after which an entry's credits count as unused.
-const IDLE_TICKS: u32 = 2;
+const IDLE_TICKS: u32 = 4;
 
 #[derive(Debug, Default)]
 struct Account {
@@ -74,18 +74,24 @@
         }
     }
 
-    /// Uses one of the entry's credits for a start.
-    pub fn start(&mut self, entry: &Name, backlog: u32) -> bool {
-        let Some(account) = self.accounts.get_mut(entry) else {
+    /// Uses one credit for a start of the entry; it was granted to `account`, perhaps another entry.
+    pub fn start(&mut self, entry: &Name, account: &Name, backlog: u32) -> bool {
+        let Some(asker) = self.accounts.get_mut(entry) else {
             return false;
         };
-        account.backlog = backlog;
-        if account.granted == 0 {
+        asker.backlog = backlog;
+        let Some(lender) = self
+            .accounts
+            .get_mut(account)
+            .filter(|lender| lender.granted > 0)
+        else {
             return false;
+        };
+        lender.granted -= 1;
+        lender.idle_ticks = 0;
+        if let Some(asker) = self.accounts.get_mut(entry) {
+            asker.running += 1;
         }
-        account.granted -= 1;
-        account.running += 1;
-        account.idle_ticks = 0;
         true
     }
 
@@ -125,12 +131,20 @@
         }
     }
 
-    /// Takes back credits that the entry returned, and its present backlog.
-    pub fn give_back(&mut self, entry: &Name, credits: u32, backlog: u32) {
-        if let Some(account) = self.accounts.get_mut(entry) {
-            account.granted = account.granted.saturating_sub(credits);
-            account.backlog = backlog;
+    /// Takes back credits of an account, of which at most `held` are still outstanding, and notes
+    /// the present backlog of the entry that returned them.
+    pub fn give_back(
+        &mut self,
+        entry: &Name,
+        account: &Name,
+        credits: u32,
+        held: u32,
+        backlog: u32,
+    ) {
+        if let Some(account) = self.accounts.get_mut(account) {
+            account.granted = account.granted.saturating_sub(credits).min(held);
         }
+        self.want(entry, backlog);
     }
 
     /// Grants free slots, and recalls idle credits for entries that have none.
@@ -158,7 +172,7 @@
         let need = |a: &Account| f64::from(a.backlog) / f64::from(1 + a.running + a.granted);
         self.accounts
             .iter()
-            .filter(|(_, account)| account.backlog > 0)
+            .filter(|(_, account)| account.backlog > 0 && !account.recalled)
             .max_by(|a, b| need(a.1).total_cmp(&need(b.1)))
             .map(|(entry, _)| entry.clone())
     }
--- a/crates/core/src/msg.rs
+++ b/crates/core/src/msg.rs
@@ -33,6 +33,8 @@
     pub dispatch: u64,
     /// The agent's credit epoch that the credit came from.
     pub epoch: u64,
+    /// The entry that the credit was granted to; another one when it was lent.
+    pub account: Name,
     /// The service.
     pub service: Name,
     /// Milliseconds that the result is still of use.
@@ -74,6 +76,10 @@
         epoch: u64,
         /// Tasks that wait at the entry.
         backlog: u32,
+        /// The entry that they were granted to.
+        account: Name,
+        /// Credits of that account that are still held; more are not outstanding.
+        held: u32,
     },
     /// Asks what became of dispatches after the link was lost. What never started is barred.
     Query {
@@ -251,6 +257,18 @@
         /// The answer.
         answer: Option<Answer>,
     },
+    /// Asks for idle credits.
+    Borrow {
+        /// The service whose tasks wait.
+        service: Name,
+        /// How many wait.
+        tasks: u32,
+    },
+    /// Lends idle credits for a short time.
+    Lent {
+        /// The credits.
+        loans: Vec<Loan>,
+    },
     /// The load that tenants bring to this entry.
     Demand {
         /// Tenant and tasks asked for in the last second.
@@ -258,6 +276,19 @@
     },
 }
 
+/// Credits of one agent that one entry lends another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Loan {
+    /// The agent.
+    pub agent: Name,
+    /// The credits' epoch.
+    pub epoch: u64,
+    /// The entry that they were granted to.
+    pub account: Name,
+    /// Their number.
+    pub credits: u32,
+}
+
 /// One-off questions on a connection of their own.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Ask {
