--- a/crates/agent/src/duty.rs
+++ b/crates/agent/src/duty.rs
@@ -13,10 +13,11 @@
 use rw_core::msg::{Ask, Msg, Role, Told};
 use rw_core::registry::SealedShard;
 use rw_host::clock;
-use rw_host::cluster::{Cluster, ClusterEvent, ClusterSetup};
+use rw_host::cluster::{Cluster, ClusterEvent};
+use rw_host::daemon::{self, Daemon, DaemonEvent, Part};
 use rw_host::dial::Dialer;
-use rw_host::link::{Link, LinkEvent, Linker};
-use rw_host::program::{self, Args};
+use rw_host::link::{Link, LinkEvent};
+use rw_host::program::Args;
 use rw_host::settings::{self, SettingsError};
 use rw_host::{http, logging};
 use thiserror::Error;
@@ -51,6 +52,20 @@
     Shutdown,
 }
 
+impl DaemonEvent for Event {
+    fn link(event: LinkEvent) -> Self {
+        Self::Link(event)
+    }
+
+    fn cluster(event: ClusterEvent) -> Option<Self> {
+        Some(Self::Cluster(event))
+    }
+
+    fn shutdown() -> Self {
+        Self::Shutdown
+    }
+}
+
 /// Why the agent cannot start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -72,23 +87,19 @@
     }
     let Settings { node, log, agent } = loaded.settings;
     logging::init(&log);
-    let (tx, rx) = flume::bounded(EVENT_QUEUE);
-    let cluster_tx = tx.clone();
-    let setup = ClusterSetup {
-        node: node.clone(),
+    let part = Part {
         role: Role::Agent,
-        incarnation: clock::wall().0,
         follows: true,
-        sink: Arc::new(move |event| drop(cluster_tx.send(Event::Cluster(event)))),
-    };
-    let link_tx = tx.clone();
-    let linker = Linker {
-        key: bound.key.clone(),
-        hello: setup.hello(),
-        sink: Arc::new(move |event| drop(link_tx.send(Event::Link(event)))),
+        queue: EVENT_QUEUE,
     };
-    let cluster = setup.start(&bound)?;
-    linker.accept(bound.link);
+    let daemon = daemon::start::<Event>(bound, &node, part)?;
+    let Daemon {
+        cluster,
+        linker,
+        key,
+        tx,
+        rx,
+    } = daemon;
     let ready = Arc::new(AtomicBool::new(false));
     let (http_tx, http_ready, http_cluster) = (tx.clone(), ready.clone(), cluster.clone());
     http::serve(node.http, announce::HTTP_THREADS, move |req| {
@@ -99,13 +110,7 @@
             &http_cluster,
         )
     })?;
-    let (end_tx, shutdown_tx) = (tx.clone(), tx.clone());
-    let signal = program::shutdown_signal()?;
-    rw_host::link::spawn("shutdown", move || {
-        if signal.recv().is_ok() {
-            let _ = shutdown_tx.send(Event::Shutdown);
-        }
-    });
+    let end_tx = tx.clone();
     let mut core = Agent::new(linker.hello.node.clone(), Instant::now());
     core.set_queue_here(agent.queue_here);
     let duty = Duty {
@@ -115,7 +120,7 @@
         })),
         dialer: Dialer::new(cluster.clone(), linker),
         cluster,
-        key: bound.key,
+        key,
         links: IndexMap::new(),
         entries: IndexMap::new(),
         tx,
@@ -124,7 +129,6 @@
         leaving: false,
         next_tick: Instant::now(),
     };
-    log::info!(node:% = node.name, link:% = node.link, http:% = node.http; "agent started");
     duty.run(&rx);
     Ok(())
 }
--- a/crates/control/src/duty.rs
+++ b/crates/control/src/duty.rs
@@ -14,9 +14,10 @@
 use rw_core::msg::{Ask, Msg, Role, Told};
 use rw_core::placement;
 use rw_core::raft::{Effects, Raft, VoterId};
-use rw_host::cluster::{Cluster, ClusterSetup};
+use rw_host::cluster::{Cluster, ClusterEvent};
+use rw_host::daemon::{self, Daemon, DaemonEvent, Part};
 use rw_host::link::{Link, LinkEvent, Linker, spawn};
-use rw_host::program::{self, Args};
+use rw_host::program::Args;
 use rw_host::settings::{self, Loaded, SettingsError};
 use rw_host::{clock, http, logging, metrics};
 use thiserror::Error;
@@ -52,6 +53,20 @@
     Shutdown,
 }
 
+impl DaemonEvent for Event {
+    fn link(event: LinkEvent) -> Self {
+        Self::Link(event)
+    }
+
+    fn cluster(_: ClusterEvent) -> Option<Self> {
+        None
+    }
+
+    fn shutdown() -> Self {
+        Self::Shutdown
+    }
+}
+
 /// Why the control node cannot start or go on.
 #[derive(Debug, Error)]
 pub enum ControlError {
@@ -88,38 +103,28 @@
     let allowed = control.peers.keys().cloned().collect();
     let raft = Raft::new(me, allowed, records, Instant::now(), fastrand::Rng::new());
 
-    let (tx, rx) = flume::bounded(EVENT_QUEUE);
-    let setup = ClusterSetup {
-        node: node.clone(),
+    let part = Part {
         role: Role::Control,
-        incarnation: clock::wall().0,
         follows: false,
-        sink: Arc::new(|_| {}),
-    };
-    let link_tx = tx.clone();
-    let linker = Linker {
-        key: bound.key.clone(),
-        hello: setup.hello(),
-        sink: Arc::new(move |event| drop(link_tx.send(Event::Link(event)))),
+        queue: EVENT_QUEUE,
     };
-    let cluster = setup.start(&bound)?;
-    linker.accept(bound.link);
+    let daemon = daemon::start::<Event>(bound, &node, part)?;
+    let Daemon {
+        cluster,
+        linker,
+        tx,
+        rx,
+        ..
+    } = daemon;
     dial_later_peers(&linker, &node.name, &control.peers);
     let ready = Arc::new(AtomicBool::new(false));
     let api = Api {
-        tx: tx.clone(),
+        tx,
         cluster: cluster.clone(),
         token_hashes: control.operator_token_hashes.into(),
         ready: ready.clone(),
     };
     http::serve(node.http, api::HTTP_THREADS, move |req| api.handle(req))?;
-    let signal = program::shutdown_signal()?;
-    spawn("shutdown", move || {
-        if signal.recv().is_ok() {
-            let _ = tx.send(Event::Shutdown);
-        }
-    });
-    log::info!(node:% = node.name, link:% = node.link, http:% = node.http; "control node started");
     let duty = Duty {
         raft,
         store,
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -208,6 +208,7 @@
 
 #[derive(Debug)]
 struct Ended {
+    tenant: Name,
     digest: Digest,
     attempt: u32,
     /// `None` once the answer was dropped for space.
@@ -360,9 +361,9 @@
     }
 
     /// The state of a job, with its tenant.
-    pub fn status(&self, key: JobKey) -> Option<(Option<Name>, JobStatus)> {
+    pub fn status(&self, key: JobKey) -> Option<(Name, JobStatus)> {
         if let Some(job) = self.jobs.get(&key) {
-            return Some((Some(job.spec.tenant.clone()), job.status()));
+            return Some((job.spec.tenant.clone(), job.status()));
         }
         let ended = self.ended.get(&key)?;
         let (state, tasks) = match &ended.answer {
@@ -370,15 +371,13 @@
             Some(Err(_)) => ("failed", 0),
             None => ("ended", 0),
         };
-        Some((
-            None,
-            JobStatus {
-                state,
-                tasks,
-                done: tasks,
-                queued: 0,
-            },
-        ))
+        let status = JobStatus {
+            state,
+            tasks,
+            done: tasks,
+            queued: 0,
+        };
+        Some((ended.tenant.clone(), status))
     }
 
     /// Cancels a job. Waiting tasks leave without a slot; what runs is left to end, unanswered.
--- a/crates/core/src/dispatcher/admit.rs
+++ b/crates/core/src/dispatcher/admit.rs
@@ -18,7 +18,9 @@
 };
 
 /// Deviations beyond the mean run time that few tasks pass.
-const LONG_RUN_DEVIATIONS: f64 = 2.0;
+const LONG_RUN_DEVIATIONS: f64 = 3.0;
+/// Expected waits are taken for this much longer, since estimates err.
+const WAIT_MARGIN: f64 = 1.1;
 
 impl Dispatcher {
     /// Takes a job from a caller. The caller is answered once by an [`Action::Answer`].
@@ -251,7 +253,7 @@
         let slots = self.fleet.in_hand(&spec.service).max(1);
         let own = self.mean_run(&spec.service, spec.class) * (tasks / slots)
             + self.long_run(&spec.service, spec.class);
-        if wait <= max_wait && wait + own <= spec.deadline {
+        if wait <= max_wait && wait.mul_f64(WAIT_MARGIN) + own <= spec.deadline {
             return Ok(());
         }
         let detail = format!(
--- a/crates/core/src/dispatcher/finish.rs
+++ b/crates/core/src/dispatcher/finish.rs
@@ -96,6 +96,7 @@
             Err(failure) => failure.detail.len(),
         };
         let ended = Ended {
+            tenant: job.spec.tenant.clone(),
             digest: job.digest,
             attempt: job.attempt,
             answer: Some(answer),
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -102,9 +102,7 @@
         let key = key_in(path)?;
         let tenant = self.tenant_of_token(req)?;
         match self.ask(|tx| Event::Status(key, tx))? {
-            Some((owner, status)) if owner.as_ref().is_none_or(|owner| *owner == tenant) => {
-                Ok(http::json(&status))
-            }
+            Some((owner, status)) if owner == tenant => Ok(http::json(&status)),
             _ => Err(no_such_job()),
         }
     }
@@ -173,7 +171,7 @@
 }
 
 /// What [`Event::Status`] is replied to with.
-pub type StatusReply = Option<(Option<Name>, JobStatus)>;
+pub type StatusReply = Option<(Name, JobStatus)>;
 
 fn key_in(path: &str) -> Result<JobKey, Response> {
     path.strip_prefix('/')
--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -11,11 +11,12 @@
 use rw_core::job::JobSpec;
 use rw_core::linking::peers_for;
 use rw_core::msg::{Ask, Msg, Role, Told};
-use rw_host::cluster::{Cluster, ClusterEvent, ClusterSetup};
+use rw_host::cluster::{Cluster, ClusterEvent};
+use rw_host::daemon::{self, Daemon, DaemonEvent, Part};
 use rw_host::dial::Dialer;
 use rw_host::http::Pending;
-use rw_host::link::{Link, LinkEvent, Linker};
-use rw_host::program::{self, Args};
+use rw_host::link::{Link, LinkEvent};
+use rw_host::program::Args;
 use rw_host::settings::{self, SettingsError};
 use rw_host::{clock, http, logging};
 use thiserror::Error;
@@ -49,6 +50,20 @@
     Shutdown,
 }
 
+impl DaemonEvent for Event {
+    fn link(event: LinkEvent) -> Self {
+        Self::Link(event)
+    }
+
+    fn cluster(event: ClusterEvent) -> Option<Self> {
+        Some(Self::Cluster(event))
+    }
+
+    fn shutdown() -> Self {
+        Self::Shutdown
+    }
+}
+
 /// Why the entry cannot start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -75,27 +90,23 @@
         policy,
     } = loaded.settings;
     logging::init(&log);
-    let (tx, rx) = flume::bounded(EVENT_QUEUE);
-    let cluster_tx = tx.clone();
-    let setup = ClusterSetup {
-        node: node.clone(),
+    let part = Part {
         role: Role::Entry,
-        incarnation: clock::wall().0,
         follows: true,
-        sink: Arc::new(move |event| drop(cluster_tx.send(Event::Cluster(event)))),
-    };
-    let link_tx = tx.clone();
-    let linker = Linker {
-        key: bound.key.clone(),
-        hello: setup.hello(),
-        sink: Arc::new(move |event| drop(link_tx.send(Event::Link(event)))),
+        queue: EVENT_QUEUE,
     };
-    let cluster = setup.start(&bound)?;
-    linker.accept(bound.link);
+    let daemon = daemon::start::<Event>(bound, &node, part)?;
+    let Daemon {
+        cluster,
+        linker,
+        tx,
+        rx,
+        ..
+    } = daemon;
     let callers = Callers::default();
     let ready = Arc::new(AtomicBool::new(false));
     let api = Api {
-        tx: tx.clone(),
+        tx,
         callers: callers.clone(),
         max_callers: entry.max_callers,
         cluster: cluster.clone(),
@@ -103,12 +114,6 @@
     };
     // More threads than callers, so that a refusal never waits for a thread.
     let pending = http::serve(node.http, entry.max_callers * 2, move |req| api.handle(req))?;
-    let signal = program::shutdown_signal()?;
-    rw_host::link::spawn("shutdown", move || {
-        if signal.recv().is_ok() {
-            let _ = tx.send(Event::Shutdown);
-        }
-    });
     let me = linker.hello.node.clone();
     let duty = Duty {
         core: Dispatcher::new(me, policy, Instant::now(), fastrand::Rng::new()),
@@ -122,7 +127,6 @@
         leaving: false,
         next_tick: Instant::now(),
     };
-    log::info!(node:% = node.name, link:% = node.link, http:% = node.http; "entry started");
     duty.run(&rx);
     Ok(())
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod cluster;
+pub mod daemon;
 pub mod dial;
 pub mod http;
 pub mod link;
--- a/crates/load/src/bench.rs
+++ b/crates/load/src/bench.rs
@@ -48,9 +48,18 @@
 /// The chosen policy and the baselines.
 pub const WAYS: [Way; 4] = [
     way("credits", ""),
-    push("random", "[policy]\nmode = \"random\"\n"),
-    push("round-robin", "[policy]\nmode = \"round-robin\"\n"),
-    push("two-choices", "[policy]\nmode = \"two-choices\"\n"),
+    push(
+        "random",
+        "[policy]\nmode = \"random\"\nclass_shares = false\n",
+    ),
+    push(
+        "round-robin",
+        "[policy]\nmode = \"round-robin\"\nclass_shares = false\n",
+    ),
+    push(
+        "two-choices",
+        "[policy]\nmode = \"two-choices\"\nclass_shares = false\n",
+    ),
 ];
 
 /// The chosen policy with one part switched off, and the measure that the part is for.
@@ -154,27 +163,33 @@
     }
 }
 
-/// Runs everything and returns all lines.
-pub fn run_all_ways(quick: bool) -> io::Result<Vec<Line>> {
-    let measures = [Measure::Steady, Measure::Crest, Measure::Blocking];
-    let mut lines = Vec::new();
-    for way in WAYS.iter().take(if quick { 1 } else { WAYS.len() }) {
-        for measure in measures {
-            lines.push(run(way, measure)?);
-        }
-    }
-    lines.push(run(&WAYS[0], Measure::Misdeclared)?);
-    lines.push(run(&WAYS[0], Measure::BadWorker)?);
-    if !quick {
-        lines.push(run(
-            &way("no-ejection", "[policy]\neject = false\n"),
-            Measure::BadWorker,
-        )?);
-        for (way, measure) in &WITHOUT {
-            lines.push(run(way, *measure)?);
-        }
+/// All pairs of way and measure, in the order of a full run.
+fn plan() -> Vec<(Way, Measure)> {
+    let mut plan = Vec::new();
+    for way in WAYS {
+        plan.extend([Measure::Steady, Measure::Crest, Measure::Blocking].map(|m| (way, m)));
     }
-    Ok(lines)
+    plan.push((WAYS[0], Measure::Misdeclared));
+    plan.push((WAYS[0], Measure::BadWorker));
+    plan.push((
+        way("no-ejection", "[policy]\neject = false\n"),
+        Measure::BadWorker,
+    ));
+    plan.extend(WITHOUT);
+    plan
+}
+
+/// Runs everything, or what is named by `WAY.MEASURE` in `only`, and returns all lines.
+pub fn run_all_ways(only: &[String]) -> io::Result<Vec<Line>> {
+    let is_named = |(way, measure): &(Way, Measure)| {
+        let name = format!("{}.{}", way.name, measure.name());
+        only.is_empty() || only.iter().any(|part| name.starts_with(part.as_str()))
+    };
+    let plan = plan();
+    plan.iter()
+        .filter(|pair| is_named(pair))
+        .map(|(way, measure)| run(way, *measure))
+        .collect()
 }
 
 /// Runs one measure for one way.
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use rw_load::{bench, bounds, caller, flood, replay, slopes, soak};
 
 fn main() -> ExitCode {
@@ -24,10 +24,11 @@
         .required(true)
         .value_parser(value_parser!(PathBuf))
         .help("The trace");
-    let quick = Arg::new("quick")
-        .long("quick")
-        .action(ArgAction::SetTrue)
-        .help("Only the chosen policy");
+    let only = Arg::new("only")
+        .long("only")
+        .value_delimiter(',')
+        .value_name("WAY.MEASURE,..")
+        .help("Only these, such as credits.crest or random");
     let workers = Arg::new("workers")
         .long("workers")
         .value_delimiter(',')
@@ -41,7 +42,7 @@
         .subcommand(
             Command::new("bench")
                 .about("The four measures for each dispatch policy")
-                .arg(quick),
+                .arg(only),
         )
         .subcommand(Command::new("flood").about("Task starts that one core of an entry carries"))
         .subcommand(
@@ -72,7 +73,13 @@
     match matches.subcommand() {
         Some(("key", _)) => println!("{}", caller::new_key()),
         Some(("bench", args)) => {
-            let lines = bench::run_all_ways(args.get_flag("quick"))?;
+            let only: Vec<String> = args
+                .get_many("only")
+                .into_iter()
+                .flatten()
+                .cloned()
+                .collect();
+            let lines = bench::run_all_ways(&only)?;
             return Ok(bounds::check(&lines, Path::new(".")));
         }
         Some(("flood", _)) => {
