--- a/crates/load/src/bench.rs
+++ b/crates/load/src/bench.rs
@@ -261,6 +261,13 @@
     let alone = whole()
         .map(|(i, o)| o.time.as_secs_f64() / ideal::alone(&jobs[i], &SPEEDS, SLOTS).as_secs_f64());
     let ratios: Vec<f64> = ratios.collect();
+    for (i, outcome) in outcomes
+        .iter()
+        .enumerate()
+        .filter(|(_, o)| o.end != End::Whole)
+    {
+        eprintln!("job {i} of {} tasks: {outcome:?}", jobs[i].runs.len());
+    }
     line.add("jobs", jobs.len() as f64);
     line.add("whole", ratios.len() as f64 / jobs.len() as f64);
     line.add("mean_ratio", mean(&ratios));
