--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -102,6 +102,12 @@
 fn status() -> Command {
     Command::new("status")
         .about("Shows the configuration and what is in force where")
+        .arg(
+            Arg::new("where")
+                .long("where")
+                .action(ArgAction::SetTrue)
+                .help("Asks every node what is in force there"),
+        )
         .arg(
             Arg::new("json")
                 .long("json")
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -6,6 +6,7 @@
 use clap::ArgMatches;
 use rw_core::config::{Change, ChangeOutcome, ChangeRequest, ClusterState};
 use rw_core::members::Member;
+use rw_host::cluster::InForce;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use uuid::Uuid;
@@ -91,6 +92,18 @@
         Err(Error::Unavailable(last))
     }
 
+    /// What is in force at one node, or why that is not known.
+    pub fn in_force(&self, node: &str) -> Result<InForce, String> {
+        match self.call(
+            node,
+            attohttpc::get(format!("http://{node}/v1/inforce")),
+            None,
+        ) {
+            Reply::Answer(200, text) => serde_json::from_str(&text).map_err(|e| e.to_string()),
+            Reply::Answer(_, text) | Reply::Elsewhere(text) | Reply::Lost(text) => Err(text),
+        }
+    }
+
     /// Makes a change, once. Returns the new revision.
     pub fn change(&self, change: Change) -> Result<u64, Error> {
         let base = match self.base {
--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -33,6 +33,9 @@
         let status = client.status(any)?;
         write_state(&mut out, &status)?;
         write_members(&mut out, &status)?;
+        if self.args.get_flag("where") {
+            write_where(&mut out, &client, &status)?;
+        }
         Ok(())
     }
 }
@@ -74,6 +77,26 @@
     )
 }
 
+fn write_where<W>(out: &mut W, client: &Client, status: &client::Status) -> io::Result<()>
+where
+    W: Write,
+{
+    for m in &status.members {
+        match client.in_force(&m.http.to_string()) {
+            Ok(there) => {
+                let preset = there.preset.as_deref().unwrap_or("none");
+                writeln!(
+                    out,
+                    "in force at {}  revision {}  preset {preset}",
+                    m.node.name, there.revision
+                )?;
+            }
+            Err(reason) => writeln!(out, "in force at {}  not known: {reason}", m.node.name)?,
+        }
+    }
+    Ok(())
+}
+
 fn write_members<W>(out: &mut W, status: &client::Status) -> io::Result<()>
 where
     W: Write,
