A large job is not refused for want of credits in hand

Ruled out: the registry (the refusal named an expected wait of 0 ms and a run of 12300 ms). Change: the slots that workers offer count; without any the job waits.

--- a/crates/core/src/dispatcher/admit.rs
+++ b/crates/core/src/dispatcher/admit.rs
@@ -250,8 +250,11 @@
         }
         let wait = self.expected_wait(&spec.service, spec.class);
         let tasks = spec.tasks.len() as u32;
-        let slots = self.fleet.in_hand(&spec.service).max(1);
-        let own = self.mean_run(&spec.service, spec.class) * (tasks / slots)
+        // Credits move toward the backlog, so a job's own tasks may use any slot that is offered.
+        let Some(rounds) = tasks.checked_div(self.fleet.offered(&spec.service)) else {
+            return Ok(());
+        };
+        let own = self.mean_run(&spec.service, spec.class) * rounds
             + self.long_run(&spec.service, spec.class);
         if wait <= max_wait && wait.mul_f64(WAIT_MARGIN) + own <= spec.deadline {
             return Ok(());
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -379,6 +379,15 @@
         worker.slowness += rate * surprise.clamp(-MAX_SURPRISE, MAX_SURPRISE);
     }
 
+    /// Slots that a service's workers offer, whichever entry holds their credits.
+    pub fn offered(&self, service: &Name) -> u32 {
+        let serving = self
+            .workers
+            .values()
+            .filter(|w| w.up && w.offer.services.contains(service));
+        serving.map(|worker| worker.offer.slots).sum()
+    }
+
     /// Slots of a service that this entry has in hand: credits and tasks that run.
     pub fn in_hand(&self, service: &Name) -> u32 {
         let serving = self
