--- /dev/null
+++ b/crates/agent/src/pooled/notes.rs
@@ -0,0 +1,79 @@
+//! Log lines and metrics of the driver's decisions.
+
+use std::sync::LazyLock;
+use std::time::Duration;
+
+use prometheus::{Histogram, IntCounterVec};
+use rw_core::pool::driver::{Driver, Note};
+use rw_host::metrics;
+use rw_host::net::Net;
+
+static RUN_TIME: LazyLock<Histogram> =
+    LazyLock::new(|| metrics::histogram("rw_pooled_run_seconds", "Run time of runs on the worker"));
+static RUNS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_runs_total",
+        "Runs by what became of them",
+        &["end"],
+    )
+});
+
+fn ms(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
+/// Logs and counts a note.
+pub fn note(note: &Note) {
+    match note {
+        Note::Starting {
+            run,
+            entry,
+            free,
+            waited,
+        } => {
+            log::info!(run:% = run, entry:% = entry, free_cpu = free.cpu_milli,
+                waited_ms = ms(*waited); "run starts");
+        }
+        Note::Ended { run, end, ran } => {
+            RUN_TIME.observe(ran.as_secs_f64());
+            RUNS.with_label_values(&[&format!("{end:?}")]).inc();
+            log::info!(run:% = run, end:? = end, ran_ms = ms(*ran); "run ended");
+        }
+        Note::Refused { run, reason } => {
+            RUNS.with_label_values(&[&format!("{reason:?}")]).inc();
+            log::info!(run:% = run, reason:? = reason; "run not started");
+        }
+        Note::Stopping { run, why } => log::info!(run:% = run, why = why; "run stops"),
+        Note::StartUnanswered { run, waited } => {
+            log::warn!(run:% = run, waited_ms = ms(*waited); "start not answered");
+        }
+        Note::Worker { id, born, lost } => {
+            log::info!(worker:% = id, born = born, runs_lost = lost; "worker found");
+        }
+        Note::WorkerState { id, state } => {
+            log::info!(worker:% = id, state:? = state; "worker state");
+        }
+        Note::Silent { calls, since } => {
+            log::warn!(calls = calls, since_ms = ms(*since); "worker lost: it does not answer");
+        }
+        Note::Heard => log::info!("worker regained"),
+        Note::EntryLost {
+            entry,
+            silence,
+            runs,
+        } => {
+            log::warn!(entry:% = entry, silence_ms = ms(*silence), runs = runs; "entry lost");
+        }
+    }
+}
+
+/// Notes what is held.
+pub fn held(core: &Driver, net: &Net) {
+    let set = |what: &str, value: usize| {
+        metrics::HELD.with_label_values(&[what]).set(value as i64);
+    };
+    let (conns, refused) = net.counts();
+    set("runs", core.run_count());
+    set("connections", conns);
+    set("connections_refused", refused as usize);
+}
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -62,6 +62,15 @@
     NotLeader(Option<Name>),
 }
 
+/// The answer to a question for the state that a majority confirms.
+#[derive(Clone, Debug)]
+pub enum ReadReply {
+    /// The newest state.
+    State(Arc<ClusterState>),
+    /// This node does not lead, or no majority confirmed that it does.
+    NotLeader(Option<Name>),
+}
+
 #[derive(Serialize)]
 struct Status<'a> {
     log: LogStatus,
--- a/crates/control/src/duty.rs
+++ b/crates/control/src/duty.rs
@@ -11,18 +11,20 @@
 use rw_core::config::{Change, ChangeRequest};
 use rw_core::ids::Name;
 use rw_core::journal::Record;
+use rw_core::members::Member;
 use rw_core::msg::{Ask, Msg, Role, Told};
 use rw_core::placement;
-use rw_core::raft::{Effects, Raft, VoterId};
+use rw_core::raft::{Effects, Raft, ReadRound, Standing, VoterId};
 use rw_host::cluster::{Cluster, ClusterEvent};
 use rw_host::daemon::{self, Daemon, DaemonEvent, Part};
+use rw_host::dial::Dialer;
 use rw_host::link::{Link, LinkEvent, Linker, spawn};
 use rw_host::program::Args;
-use rw_host::settings::{self, Loaded, SettingsError};
+use rw_host::settings::{self, Bound, Loaded, NodeSettings, SettingsError};
 use rw_host::{clock, http, logging, metrics};
 use thiserror::Error;
 
-use crate::api::{self, Api, ChangeReply, LogStatus, StateReply};
+use crate::api::{self, Api, ChangeReply, LogStatus, ReadReply, StateReply};
 use crate::settings::Settings;
 use crate::store::{Store, StoreError};
 
@@ -39,6 +41,10 @@
 /// Time after the start of a leader's term before it moves shards, so that members are known.
 const PLACE_AFTER: Duration = Duration::from_secs(2);
 const REDIAL_AFTER: Duration = Duration::from_millis(200);
+/// Time for a majority to confirm a read.
+const READ_TIMEOUT: Duration = Duration::from_millis(900);
+/// Bytes appended to the journal after which a snapshot replaces them; a twelfth of a small disk.
+const MAX_APPENDED_BYTES: u64 = 10 * 1024 * 1024;
 
 /// What the log is fed with.
 #[derive(Debug)]
@@ -49,6 +55,10 @@
     State(Sender<StateReply>),
     /// A change.
     Change(ChangeRequest, Sender<ChangeReply>),
+    /// A question for the state that a majority confirms.
+    Read(Sender<ReadReply>),
+    /// Another member list.
+    Members(Vec<Member>),
     /// End.
     Shutdown,
 }
@@ -58,8 +68,11 @@
         Self::Link(event)
     }
 
-    fn cluster(_: ClusterEvent) -> Option<Self> {
-        None
+    fn cluster(event: ClusterEvent) -> Option<Self> {
+        match event {
+            ClusterEvent::Members(members) => Some(Self::Members(members)),
+            ClusterEvent::State(_) => None,
+        }
     }
 
     fn shutdown() -> Self {
@@ -99,10 +112,48 @@
     let Settings { node, log, control } = loaded.settings;
     logging::init(&log);
     let (store, records) = open(&data, &node.name)?;
+    let peers = Peering::Fixed(control.peers);
+    let running = start(
+        bound,
+        node,
+        (store, records),
+        control.operator_token_hashes,
+        peers,
+    )?;
+    running.duty.run(&running.rx)
+}
+
+/// How a control node knows the others.
+pub(crate) enum Peering {
+    /// By its settings.
+    Fixed(IndexMap<Name, std::net::SocketAddr>),
+    /// As members of the cluster.
+    Members,
+}
+
+/// A control node that is ready to run.
+pub(crate) struct Running {
+    pub(crate) duty: Duty,
+    pub(crate) tx: Sender<Event>,
+    pub(crate) rx: Receiver<Event>,
+    pub(crate) cluster: Cluster,
+}
+
+/// Starts the adapters of a control node.
+pub(crate) fn start(
+    bound: Bound,
+    node: NodeSettings,
+    journal: (Store, Vec<Record>),
+    operator_token_hashes: Vec<String>,
+    peering: Peering,
+) -> Result<Running, ControlError> {
+    let (store, records) = journal;
     let me = identity(&records).unwrap_or_else(|| new_voter(&node.name));
-    let allowed = control.peers.keys().cloned().collect();
+    let allowed = match &peering {
+        Peering::Fixed(peers) => peers.keys().cloned().collect(),
+        Peering::Members => Vec::new(),
+    };
     let raft = Raft::new(me, allowed, records, Instant::now(), fastrand::Rng::new());
-
     let part = Part {
         role: Role::Control,
         follows: false,
@@ -116,19 +167,27 @@
         rx,
         ..
     } = daemon;
-    dial_later_peers(&linker, &node.name, &control.peers);
+    let dialer = match &peering {
+        Peering::Fixed(peers) => {
+            dial_later_peers(&linker, &node.name, peers);
+            None
+        }
+        Peering::Members => Some(Dialer::new(cluster.clone(), linker)),
+    };
     let ready = Arc::new(AtomicBool::new(false));
     let api = Api {
-        tx,
+        tx: tx.clone(),
         cluster: cluster.clone(),
-        token_hashes: control.operator_token_hashes.into(),
+        token_hashes: operator_token_hashes.into(),
         ready: ready.clone(),
     };
     http::serve(node.http, api::HTTP_THREADS, move |req| api.handle(req))?;
     let duty = Duty {
         raft,
         store,
-        cluster,
+        cluster: cluster.clone(),
+        dialer,
+        reads: Vec::new(),
         links: IndexMap::new(),
         by_name: IndexMap::new(),
         waiting: IndexMap::new(),
@@ -136,8 +195,14 @@
         next_tick: Instant::now(),
         next_place: Instant::now(),
         led_since: None,
+        standing: Standing::Follower,
     };
-    duty.run(&rx)
+    Ok(Running {
+        duty,
+        tx,
+        rx,
+        cluster,
+    })
 }
 
 fn check(loaded: &Loaded<Settings>) -> Result<(), SettingsError> {
@@ -152,7 +217,7 @@
     Ok(())
 }
 
-fn new_voter(name: &Name) -> VoterId {
+pub(crate) fn new_voter(name: &Name) -> VoterId {
     VoterId {
         name: name.clone(),
         disk: fastrand::u64(1..),
@@ -160,7 +225,7 @@
 }
 
 /// Opens the journal. Without one, this node joins as a new voter that counts for nothing yet.
-fn open(data: &Path, name: &Name) -> Result<(Store, Vec<Record>), StoreError> {
+pub(crate) fn open(data: &Path, name: &Name) -> Result<(Store, Vec<Record>), StoreError> {
     if Store::exists(data) {
         return Store::open(data);
     }
@@ -189,10 +254,14 @@
     }
 }
 
-struct Duty {
+pub(crate) struct Duty {
     raft: Raft,
     store: Store,
     cluster: Cluster,
+    /// `None` when the other control nodes stand in the settings.
+    dialer: Option<Dialer>,
+    /// Reads that wait for a majority's word: the round, since when, and the reply.
+    reads: Vec<(ReadRound, Instant, Sender<ReadReply>)>,
     links: IndexMap<u64, Link>,
     by_name: IndexMap<Name, u64>,
     waiting: IndexMap<uuid::Uuid, Vec<Sender<ChangeReply>>>,
@@ -200,10 +269,12 @@
     next_tick: Instant,
     next_place: Instant,
     led_since: Option<Instant>,
+    /// As last logged.
+    standing: Standing,
 }
 
 impl Duty {
-    fn run(mut self, rx: &Receiver<Event>) -> Result<(), ControlError> {
+    pub(crate) fn run(mut self, rx: &Receiver<Event>) -> Result<(), ControlError> {
         loop {
             let mut event = match rx.recv_timeout(TICK) {
                 Ok(event) => Some(event),
@@ -234,6 +305,8 @@
                 self.place(now, &mut fx);
             }
             self.carry_out(fx)?;
+            self.answer_reads(now);
+            self.log_standing();
         }
     }
 
@@ -251,11 +324,55 @@
             }
             Event::Link(LinkEvent::Msg(id, msg)) => self.on_msg(now, id, msg, fx),
             Event::State(reply) => drop(reply.send(self.state(now))),
+            Event::Read(reply) => self.on_read(now, reply, fx),
+            Event::Members(members) => self.on_members(&members),
             Event::Change(req, reply) => self.on_change(now, req, reply, fx),
             Event::Shutdown => {}
         }
     }
 
+    /// Begins a round that confirms a read.
+    fn on_read(&mut self, now: Instant, reply: Sender<ReadReply>, fx: &mut Effects) {
+        match self.raft.begin_read(now, fx) {
+            Some(round) => self.reads.push((round, now, reply)),
+            None => drop(reply.send(ReadReply::NotLeader(self.leader_name()))),
+        }
+    }
+
+    fn leader_name(&self) -> Option<Name> {
+        self.raft.leader().map(|leader| leader.name.clone())
+    }
+
+    /// Answers reads whose round a majority answered, or that waited too long.
+    fn answer_reads(&mut self, now: Instant) {
+        let leader = self.leader_name();
+        let raft = &self.raft;
+        self.reads.retain(|(round, since, reply)| {
+            let answer = match raft.is_read_confirmed(*round) {
+                Some(true) => ReadReply::State(raft.state().cluster.clone()),
+                Some(false) if now.duration_since(*since) < READ_TIMEOUT => return true,
+                Some(false) => ReadReply::NotLeader(None),
+                None => ReadReply::NotLeader(leader.clone()),
+            };
+            let _ = reply.send(answer);
+            false
+        });
+    }
+
+    /// Control nodes that are found as members may become voters, and are linked with.
+    fn on_members(&mut self, members: &[Member]) {
+        let Some(dialer) = &self.dialer else { return };
+        let control = |m: &&Member| m.role == Role::Control;
+        let names: Vec<Name> = members
+            .iter()
+            .filter(control)
+            .map(|m| m.node.name.clone())
+            .collect();
+        let me = self.raft.me().name.clone();
+        dialer.want(names.iter().filter(|name| **name > me).cloned().collect());
+        self.raft.set_allowed(names);
+    }
+
     fn on_msg(&mut self, now: Instant, id: u64, msg: Msg, fx: &mut Effects) {
         let Some(link) = self.links.get(&id) else {
             return;
@@ -283,13 +400,23 @@
         }
         let id = req.request_id;
         if self.waiting.len() >= MAX_WAITING_CHANGES || !self.raft.propose(now, req, fx) {
-            let leader = self.raft.leader().map(|leader| leader.name.clone());
-            let _ = reply.send(ChangeReply::NotLeader(leader));
+            let _ = reply.send(ChangeReply::NotLeader(self.leader_name()));
             return;
         }
         self.waiting.entry(id).or_default().push(reply);
     }
 
+    /// Logs when this node begins or ceases to lead or to follow.
+    fn log_standing(&mut self) {
+        let standing = self.raft.standing();
+        if standing != self.standing {
+            self.standing = standing;
+            let (term, commit, last) = self.raft.position();
+            log::info!(standing:? = standing, term = term, commit = commit, last = last,
+                voters = self.raft.voters().len(); "standing in the log changed");
+        }
+    }
+
     fn state(&self, now: Instant) -> StateReply {
         let (term, commit, last) = self.raft.position();
         let log = LogStatus {
@@ -315,6 +442,10 @@
             self.led_since = None;
             return;
         }
+        if self.dialer.is_some() {
+            // Pooled work has no registry of keys.
+            return;
+        }
         let since = *self.led_since.get_or_insert(now);
         if now < self.next_place || now.duration_since(since) < PLACE_AFTER {
             return;
@@ -343,6 +474,13 @@
         } else if !fx.records.is_empty() {
             self.store.append(&fx.records)?;
         }
+        if self.store.appended() > MAX_APPENDED_BYTES {
+            let mut more = Effects::default();
+            self.raft.compact_now(&mut more);
+            if more.compact {
+                self.store.rewrite(&self.raft.journal())?;
+            }
+        }
         for (name, msg) in fx.send {
             if let Some(link) = self.by_name.get(&name).and_then(|id| self.links.get(id)) {
                 link.send(Msg::Raft(msg));
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -1,10 +1,5 @@
 //! `rw-control`: holds the replicated log of the configuration.
 
-mod api;
-mod duty;
-mod settings;
-mod store;
-
 use std::process::ExitCode;
 
 use clap::{Arg, ArgAction};
@@ -21,6 +16,6 @@
         .get_matches();
     program::exit(
         "rw-control",
-        duty::run(&program::args(&matches), matches.get_flag("init")),
+        rw_control::run(&program::args(&matches), matches.get_flag("init")),
     )
 }
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -52,6 +52,8 @@
     path: PathBuf,
     file: File,
     buf: Vec<u8>,
+    /// Bytes appended since the journal was opened or written anew.
+    appended: u64,
     _lock: File,
 }
 
@@ -108,10 +110,16 @@
             path,
             file,
             buf: Vec::new(),
+            appended: 0,
             _lock: lock,
         })
     }
 
+    /// Bytes appended since the journal was opened or written anew.
+    pub fn appended(&self) -> u64 {
+        self.appended
+    }
+
     /// Appends records and syncs them.
     pub fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
         self.buf.clear();
@@ -121,6 +129,7 @@
                 source,
             })?;
         }
+        self.appended += self.buf.len() as u64;
         let written = self
             .file
             .write_all(&self.buf)
@@ -140,6 +149,7 @@
             .append(true)
             .open(&self.path)
             .map_err(io_error("open", &self.path))?;
+        self.appended = 0;
         Ok(())
     }
 }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -14,6 +14,7 @@
 use crate::ids::Name;
 use crate::job::Class;
 use crate::placement::Shard;
+use crate::pool::catalog::Catalog;
 
 /// Request ids whose results are kept for resends.
 pub const REMEMBERED_REQUESTS: usize = 4096;
@@ -128,6 +129,8 @@
     pub forgotten: IndexMap<Name, u64>,
     /// Placement of the registry's shards; empty until enough agents are there.
     pub shards: Vec<Shard>,
+    /// The published catalogue of pooled work; its version never falls.
+    pub catalog: Option<Arc<Catalog>>,
 }
 
 impl Default for ClusterState {
@@ -153,6 +156,7 @@
             drained: IndexMap::new(),
             forgotten: IndexMap::new(),
             shards: Vec::new(),
+            catalog: None,
         }
     }
 }
@@ -224,6 +228,11 @@
         /// Shards with their new placement; the index is the shard's number.
         shards: Vec<(u32, Shard)>,
     },
+    /// Publishes a catalogue of pooled work. The highest version wins; a lower one changes nothing.
+    Publish {
+        /// The catalogue.
+        catalog: Arc<Catalog>,
+    },
 }
 
 impl Change {
@@ -282,6 +291,14 @@
         if let Err(reason) = self.check(&change) {
             return ChangeOutcome::Invalid { reason };
         }
+        if let Change::Publish { catalog } = &change
+            && let Some(held) = self
+                .catalog
+                .as_ref()
+                .filter(|held| held.version >= catalog.version)
+        {
+            return self.keep(held, catalog);
+        }
         self.revision += 1;
         self.put(change);
         ChangeOutcome::Applied {
@@ -289,6 +306,20 @@
         }
     }
 
+    /// What a catalogue gets that is not higher than the one held: nothing changes. Other content
+    /// under the version held is a conflict, so that a version means one content.
+    fn keep(&self, held: &Catalog, sent: &Catalog) -> ChangeOutcome {
+        if held.version == sent.version && held.document != sent.document {
+            return ChangeOutcome::Conflict {
+                base: sent.version,
+                changed_at: held.version,
+            };
+        }
+        ChangeOutcome::Applied {
+            revision: self.revision,
+        }
+    }
+
     /// The revision at which the change's object was last changed; 0 if it does not exist.
     fn changed_at(&self, change: &Change) -> u64 {
         match change {
@@ -306,7 +337,7 @@
             Change::Drain { worker } | Change::Undrain { worker } => {
                 self.drained.get(worker).copied().unwrap_or(0)
             }
-            Change::Forget { .. } | Change::Place { .. } => 0,
+            Change::Forget { .. } | Change::Place { .. } | Change::Publish { .. } => 0,
         }
     }
 
@@ -336,6 +367,7 @@
             Change::Drain { worker } | Change::Forget { worker, .. } => check_name(worker),
             Change::Undrain { worker } => exists(&self.drained, worker, "drained worker"),
             Change::Place { shards } => self.check_placement(shards),
+            Change::Publish { catalog } => catalog.check().map_err(|e| e.to_string()),
         }
     }
 
@@ -412,6 +444,7 @@
                 self.forgotten.insert(worker, incarnation);
             }
             Change::Place { shards } => self.place(shards),
+            Change::Publish { catalog } => self.catalog = Some(catalog),
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod members;
 pub mod msg;
 pub mod placement;
+pub mod pool;
 pub mod queue;
 pub mod quota;
 pub mod raft;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -27,6 +27,8 @@
 pub const INDIRECT_PROBES: usize = 2;
 /// Members told at once of a new revision.
 pub const REVISION_FANOUT: usize = 3;
+/// Entries told at once of a new revision: they serve by it, so all of a small cluster's are told.
+pub const REVISION_FANOUT_ENTRIES: usize = 12;
 /// Member records on one datagram.
 pub const MAX_UPDATES: usize = 6;
 /// A record travels on this many datagrams per doubling of the member count.
@@ -202,15 +204,26 @@
             return Vec::new();
         }
         self.revision = revision;
-        let mut targets: Vec<SocketAddr> = self.living().map(|m| m.gossip).collect();
+        let (entries, others): (Vec<&Member>, Vec<&Member>) =
+            self.living().partition(|m| m.role == Role::Entry);
+        let mut entries: Vec<SocketAddr> = entries.iter().map(|m| m.gossip).collect();
+        let mut targets: Vec<SocketAddr> = others.iter().map(|m| m.gossip).collect();
+        self.rng.shuffle(&mut entries);
         self.rng.shuffle(&mut targets);
+        entries.truncate(REVISION_FANOUT_ENTRIES);
         targets.truncate(REVISION_FANOUT);
+        targets.extend(entries);
         targets
             .into_iter()
             .map(|to| (to, self.ping(None)))
             .collect()
     }
 
+    /// Sets the addresses through which unknown members are found.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
     /// Takes in a member list from another process.
     pub fn merge(&mut self, now: Instant, members: Vec<Member>) {
         for member in members {
@@ -293,6 +306,12 @@
     }
 
     fn refute(&mut self, claimed: &Member) {
+        if claimed.node.incarnation > self.me.node.incarnation {
+            // The wall clock was set back between two starts of this process.
+            self.me.node.incarnation = claimed.node.incarnation + 1;
+            self.generation += 1;
+            return;
+        }
         let about_me = claimed.node == self.me.node;
         if about_me && claimed.state != MemberState::Alive && claimed.version >= self.me.version {
             self.me.version = claimed.version + 1;
--- a/crates/core/src/msg.rs
+++ b/crates/core/src/msg.rs
@@ -9,6 +9,7 @@
 use crate::ids::{Digest, JobKey, Name, NodeRef, WallMs};
 use crate::job::Needs;
 use crate::members::Member;
+use crate::pool::msg::PoolMsg;
 use crate::raft::RaftMsg;
 
 /// The result of one started task.
@@ -341,6 +342,8 @@
     Ask(Ask),
     /// Its reply.
     Told(Told),
+    /// About pooled jobs.
+    Pool(PoolMsg),
 }
 
 /// Who is at the other end of a link.
@@ -392,6 +395,7 @@
             Self::Raft(_) => "raft",
             Self::Ask(_) => "ask",
             Self::Told(_) => "told",
+            Self::Pool(msg) => msg.kind(),
         }
     }
 }
--- /dev/null
+++ b/crates/core/src/pool/driver.rs
@@ -0,0 +1,608 @@
+//! The decisions of an agent that drives one worker over its calls: start, stop, and a list of what
+//! runs and what ended, which also renews the worker's lease.
+//!
+//! The worker is the truth about what runs. A start without an answer may be carried out later: it
+//! is settled by a stop of that run, which bars it, and a list that was asked for afterwards.
+
+mod lists;
+mod owners;
+mod starts;
+mod worker;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::Uptime;
+use super::job::{Resources, RunEnd, RunId};
+use super::msg::{NotStarted, Room, ToEntry, WorkerInfo};
+use crate::ids::{Name, NodeRef};
+
+pub use worker::{Beat, BeatState, BeatVerdict};
+
+/// Time for the answer to a start or stop; a worker on the same machine answers in a millisecond.
+const CALL_TIMEOUT: Duration = Duration::from_millis(120);
+/// Time for the answer to a list beyond the time that it was asked to wait for.
+const LIST_TIMEOUT: Duration = Duration::from_millis(180);
+/// Time that a list waits for an end while something runs.
+const LIST_WAIT: Duration = Duration::from_millis(150);
+/// A start is carried out within this time or not at all.
+const START_WINDOW: Duration = Duration::from_millis(500);
+/// Calls without an answer, none answered since, after which a worker gets no new run.
+const SILENT_AFTER: u32 = 2;
+/// Time between two looks at a silent worker.
+const SILENT_LOOK: Duration = Duration::from_millis(150);
+/// Runs found at the start that no entry asks for are stopped after this time.
+const ORPHAN_GRACE: Duration = Duration::from_millis(500);
+/// Ends that no entry could be told are remembered for this long.
+const REMEMBER_ENDS: Duration = Duration::from_secs(3);
+/// Runs that may wait here for room.
+const MAX_QUEUED: usize = 24;
+/// Time between two reports of room to an entry that has nothing waiting.
+const REPORT_EVERY: Duration = Duration::from_millis(30);
+/// Learning of a worker's pace and failures.
+const LEARN: f32 = 0.2;
+
+/// A call to the worker.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+    /// Start a run.
+    Start {
+        /// The run.
+        run: RunId,
+        /// Given with it.
+        payload: Arc<str>,
+        /// On the worker's clock; later it is refused. Also extends the worker's lease.
+        deadline_ms: u64,
+    },
+    /// Stop a run, and bar it.
+    Stop {
+        /// The run.
+        run: RunId,
+    },
+    /// List what runs and what ended.
+    List {
+        /// Ends up to this number were taken note of.
+        seen_end: u64,
+        /// The new end of the worker's lease on its clock.
+        deadline_ms: Option<u64>,
+        /// The answer may wait this long for an end.
+        wait: Duration,
+    },
+}
+
+/// One row of what runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RunningRow {
+    /// The run.
+    pub run: RunId,
+    /// Share of its work that is done, in percent.
+    pub percent: u8,
+}
+
+/// One row of what ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EndedRow {
+    /// Rises with each end of one incarnation.
+    pub number: u64,
+    /// The run.
+    pub run: RunId,
+    /// How it ended.
+    pub end: RunEnd,
+}
+
+/// Why a worker refused a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartRefusal {
+    /// It does not fit.
+    Room,
+    /// That attempt or a higher one ended there.
+    Old,
+    /// The deadline had passed.
+    Late,
+    /// It is unhealthy and did nothing.
+    Unhealthy,
+    /// It cannot read the call.
+    Malformed,
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The run is there.
+    Started,
+    /// The run is not there.
+    Refused(StartRefusal),
+    /// The run stops, and is barred.
+    Stopped,
+    /// The lists.
+    Lists {
+        /// Start of the worker by its own word.
+        born: Option<u64>,
+        /// What runs.
+        running: Vec<RunningRow>,
+        /// What ended.
+        ended: Vec<EndedRow>,
+    },
+    /// Another incarnation answered.
+    OtherWorker,
+    /// The call did not reach the worker: no connection.
+    NotSent,
+    /// The connection ended, or the answer makes no sense; the call may have been carried out.
+    Unknown,
+}
+
+/// What the agent's adapter has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send to the entry of this name.
+    Send(Name, ToEntry),
+    /// Call the worker; the number pairs the answer.
+    Call(u64, Call),
+    /// Nothing more is expected of this call; end its connection.
+    DropCall(u64),
+    /// End the link of the entry of this name, so that it learns that its runs are stopped.
+    DropLink(Name),
+    /// Log and count.
+    Note(Note),
+}
+
+/// Decisions and observations that are logged and counted.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A run is ordered to start.
+    Starting {
+        /// The run.
+        run: RunId,
+        /// Its entry.
+        entry: Name,
+        /// Room left beside it.
+        free: Resources,
+        /// Time that it waited here.
+        waited: Duration,
+    },
+    /// A run ended.
+    Ended {
+        /// The run.
+        run: RunId,
+        /// How.
+        end: RunEnd,
+        /// Its run time.
+        ran: Duration,
+    },
+    /// A run was surely not started.
+    Refused {
+        /// The run.
+        run: RunId,
+        /// Why.
+        reason: NotStarted,
+    },
+    /// A run is ordered to stop.
+    Stopping {
+        /// The run.
+        run: RunId,
+        /// Why.
+        why: &'static str,
+    },
+    /// A start got no answer.
+    StartUnanswered {
+        /// The run.
+        run: RunId,
+        /// Time waited.
+        waited: Duration,
+    },
+    /// Another incarnation of the worker.
+    Worker {
+        /// Its id.
+        id: Name,
+        /// Its start by its own word.
+        born: u64,
+        /// Runs of the one before that are lost.
+        lost: usize,
+    },
+    /// The worker's word on itself changed.
+    WorkerState {
+        /// Its id.
+        id: Name,
+        /// What it says.
+        state: BeatState,
+    },
+    /// The worker does not answer.
+    Silent {
+        /// Calls without an answer.
+        calls: u32,
+        /// Time since its last answer.
+        since: Duration,
+    },
+    /// The worker answers again.
+    Heard,
+    /// An entry was not heard of and its runs are stopped.
+    EntryLost {
+        /// The entry.
+        entry: Name,
+        /// Time since its last word.
+        silence: Duration,
+        /// Its runs.
+        runs: usize,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum State {
+    /// Waits here for room.
+    Queued,
+    /// The order is on its way.
+    Starting,
+    /// Runs.
+    Running,
+    /// Whether it runs is not known: the start got no answer. A stop is to settle it.
+    Unknown,
+    /// Ordered to stop.
+    Stopping,
+}
+
+#[derive(Debug)]
+struct Run {
+    /// The entry process; `None` for runs found at the start.
+    owner: Option<NodeRef>,
+    state: State,
+    needs: Resources,
+    estimate: Duration,
+    payload: Arc<str>,
+    /// The aim's time; orders waiting runs.
+    due: Uptime,
+    /// When it came here.
+    arrived: Uptime,
+    /// When the worker was told to start it.
+    ordered: Uptime,
+    /// When the worker said that it runs.
+    started: Uptime,
+    percent: u8,
+    /// When the percent last rose.
+    advanced: Uptime,
+    /// Run time after which the entry is told again that it is behind.
+    tell_behind: Duration,
+    /// Whether its pace was learned before its end.
+    judged: bool,
+    /// When a stop was answered; lists that were asked for later tell the truth about it.
+    stop_answered: Option<Uptime>,
+    /// Whether a stop is on its way.
+    stop_call: bool,
+    next_stop: Uptime,
+}
+
+#[derive(Debug)]
+struct Entry {
+    node: NodeRef,
+    linked: bool,
+    heard: Uptime,
+    /// Starts received on the present link.
+    seen: u64,
+    /// Tasks that wait there.
+    waiting: u32,
+    reported: Option<(Uptime, Room)>,
+    told_info: bool,
+}
+
+#[derive(Debug)]
+struct Worker {
+    id: Name,
+    born: u64,
+    info: WorkerInfo,
+    state: BeatState,
+    beat: u64,
+    /// Its clock, and when it was read; the truth is never behind this.
+    clock: Option<(u64, Uptime)>,
+    seen_end: u64,
+    /// Whether its lists were read once.
+    listed: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    call: Call,
+    sent: Uptime,
+    timeout: Uptime,
+}
+
+/// One agent's decisions on its worker.
+#[derive(Debug)]
+pub struct Driver {
+    began: Uptime,
+    lease: Duration,
+    worker: Option<Worker>,
+    runs: IndexMap<RunId, Run>,
+    entries: IndexMap<Name, Entry>,
+    calls: IndexMap<u64, Pending>,
+    next_call: u64,
+    /// When a call that extends the worker's lease was last sent.
+    lease_sent: Uptime,
+    unanswered: u32,
+    last_answer: Uptime,
+    silent: bool,
+    next_look: Uptime,
+    /// Ends that could not be told.
+    ended: IndexMap<RunId, (RunEnd, u32, Uptime)>,
+    pace: f32,
+    failing: f32,
+    leaving: bool,
+}
+
+impl Driver {
+    /// An agent process that just started. `lease` is the longest that the worker grants.
+    pub fn new(now: Uptime, lease: Duration) -> Self {
+        Self {
+            began: now,
+            lease,
+            worker: None,
+            runs: IndexMap::new(),
+            entries: IndexMap::new(),
+            calls: IndexMap::new(),
+            next_call: 1,
+            lease_sent: now,
+            unanswered: 0,
+            last_answer: now,
+            silent: false,
+            next_look: now,
+            ended: IndexMap::new(),
+            pace: 0.0,
+            failing: 0.0,
+            leaving: false,
+        }
+    }
+
+    /// The worker's id, if one is known.
+    pub fn worker_id(&self) -> Option<&Name> {
+        self.worker.as_ref().map(|worker| &worker.id)
+    }
+
+    /// Whether nothing runs or waits here.
+    pub fn is_idle(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    /// Runs here.
+    pub fn run_count(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// The process is to end: nothing new is started.
+    pub fn leave(&mut self, out: &mut Vec<Action>) {
+        self.leaving = true;
+        self.refuse_queued(NotStarted::NoWorker, out);
+    }
+
+    /// Acts on the passing of time, then reports.
+    pub fn tick(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        self.expire_calls(now, out);
+        self.drop_silent_entries(now, out);
+        self.end_lapsed(now, out);
+        self.stop_orphans(now, out);
+        self.retry_stops(now, out);
+        self.start_queued(now, out);
+        self.look(now, out);
+        self.ended.retain(|_, (_, _, at)| now < *at + REMEMBER_ENDS);
+        self.report(now, out);
+    }
+
+    /// When [`Driver::tick`] should be called next at the latest.
+    pub fn next_tick(&self, now: Uptime) -> Duration {
+        if self.runs.is_empty() && self.calls.is_empty() {
+            return super::PING_EVERY;
+        }
+        let soonest = self.calls.values().map(|pending| pending.timeout).min();
+        let limit = REPORT_EVERY;
+        soonest.map_or(limit, |at| at.saturating_sub(now).min(limit))
+    }
+
+    /// Room that no run takes.
+    fn free(&self) -> Resources {
+        let Some(worker) = &self.worker else {
+            return Resources::default();
+        };
+        let running = self.runs.values().filter(|run| run.state != State::Queued);
+        running.fold(worker.info.capacity, |free, run| free.minus(run.needs))
+    }
+
+    /// Whether the worker may be given runs.
+    fn open(&self) -> bool {
+        let ready = |worker: &Worker| worker.listed && worker.state == BeatState::Ready;
+        let orphans = self.runs.values().any(|run| run.owner.is_none());
+        !self.leaving && !self.silent && !orphans && self.worker.as_ref().is_some_and(ready)
+    }
+
+    fn call(&mut self, now: Uptime, call: Call, timeout: Duration, out: &mut Vec<Action>) {
+        let id = self.next_call;
+        self.next_call += 1;
+        let pending = Pending {
+            call: call.clone(),
+            sent: now,
+            timeout: now + timeout,
+        };
+        self.calls.insert(id, pending);
+        out.push(Action::Call(id, call));
+    }
+
+    /// The worker's clock now, or a little before.
+    fn worker_clock(&self, now: Uptime) -> Option<u64> {
+        let (clock, read) = self.worker.as_ref()?.clock?;
+        Some(clock + now.saturating_sub(read).as_millis() as u64)
+    }
+
+    /// The answer to a call. `clock_ms` is the worker's clock in it.
+    pub fn on_reply(
+        &mut self,
+        now: Uptime,
+        id: u64,
+        reply: Reply,
+        clock_ms: Option<u64>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.calls.swap_remove(&id) else {
+            return;
+        };
+        if matches!(reply, Reply::NotSent | Reply::Unknown) {
+            self.on_no_answer(now, pending, reply == Reply::NotSent, out);
+        } else {
+            self.on_answer(now, pending, reply, clock_ms, out);
+        }
+        self.start_queued(now, out);
+        self.look(now, out);
+        self.report(now, out);
+    }
+
+    fn on_answer(
+        &mut self,
+        now: Uptime,
+        pending: Pending,
+        reply: Reply,
+        clock_ms: Option<u64>,
+        out: &mut Vec<Action>,
+    ) {
+        self.unanswered = 0;
+        self.last_answer = now;
+        if std::mem::take(&mut self.silent) {
+            out.push(Action::Note(Note::Heard));
+        }
+        if reply == Reply::OtherWorker {
+            self.worker_gone(now, out);
+            return;
+        }
+        if let (Some(worker), Some(clock)) = (&mut self.worker, clock_ms) {
+            worker.clock = Some((clock, now));
+        }
+        match (pending.call, reply) {
+            (Call::Start { run, .. }, Reply::Started) => self.on_started(now, run),
+            (Call::Start { run, .. }, Reply::Refused(why)) => {
+                self.on_start_refused(now, run, why, out);
+            }
+            (Call::Stop { run }, _) => self.on_stop_answered(now, run),
+            (
+                Call::List { .. },
+                Reply::Lists {
+                    born,
+                    running,
+                    ended,
+                },
+            ) => self.on_lists(now, pending.sent, born, &running, &ended, out),
+            (Call::Start { run, .. }, _) => self.on_start_unanswered(now, run, pending.sent, out),
+            (Call::List { .. }, _) => {}
+        }
+    }
+
+    fn on_no_answer(
+        &mut self,
+        now: Uptime,
+        pending: Pending,
+        not_sent: bool,
+        out: &mut Vec<Action>,
+    ) {
+        self.unanswered += 1;
+        if !self.silent && self.unanswered >= SILENT_AFTER {
+            self.silent = true;
+            self.next_look = now + SILENT_LOOK / 3;
+            out.push(Action::Note(Note::Silent {
+                calls: self.unanswered,
+                since: now.saturating_sub(self.last_answer),
+            }));
+            self.refuse_queued(NotStarted::NoWorker, out);
+        }
+        match pending.call {
+            Call::Start { run, .. } if not_sent => {
+                self.refuse(run, NotStarted::NoWorker, out);
+            }
+            Call::Start { run, .. } => self.on_start_unanswered(now, run, pending.sent, out),
+            Call::Stop { run } => {
+                if let Some(run) = self.runs.get_mut(&run) {
+                    run.stop_call = false;
+                }
+            }
+            Call::List { .. } => {}
+        }
+    }
+
+    fn expire_calls(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        let due: Vec<u64> = self
+            .calls
+            .iter()
+            .filter(|(_, pending)| now >= pending.timeout)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            out.push(Action::DropCall(id));
+            if let Some(pending) = self.calls.swap_remove(&id) {
+                self.on_no_answer(now, pending, false, out);
+            }
+        }
+    }
+
+    /// Tells the owner that a run was not started, and forgets it.
+    fn refuse(&mut self, run: RunId, reason: NotStarted, out: &mut Vec<Action>) {
+        let Some(gone) = self.runs.swap_remove(&run) else {
+            return;
+        };
+        out.push(Action::Note(Note::Refused { run, reason }));
+        if let Some(owner) = gone.owner {
+            self.send(&owner, ToEntry::Refused { run, reason }, out);
+        }
+    }
+
+    fn refuse_queued(&mut self, reason: NotStarted, out: &mut Vec<Action>) {
+        let queued = |(_, run): &(&RunId, &Run)| run.state == State::Queued;
+        let runs: Vec<RunId> = self.runs.iter().filter(queued).map(|(id, _)| *id).collect();
+        for run in runs {
+            self.refuse(run, reason, out);
+        }
+    }
+
+    /// Tells the owner that a run ended, and forgets it.
+    fn end(&mut self, now: Uptime, run: RunId, end: RunEnd, out: &mut Vec<Action>) {
+        let Some(gone) = self.runs.swap_remove(&run) else {
+            return;
+        };
+        let ran = now.saturating_sub(gone.started);
+        self.learn(&gone, end, ran);
+        out.push(Action::Note(Note::Ended { run, end, ran }));
+        let ran_ms = ran.as_millis() as u32;
+        let Some(owner) = gone.owner else {
+            self.ended.insert(run, (end, ran_ms, now));
+            return;
+        };
+        if !self.send(&owner, ToEntry::Ended { run, end, ran_ms }, out) {
+            self.ended.insert(run, (end, ran_ms, now));
+        }
+    }
+
+    fn learn(&mut self, run: &Run, end: RunEnd, ran: Duration) {
+        let failed = match end {
+            RunEnd::Done => 0.0,
+            RunEnd::Failed => 1.0,
+            RunEnd::Gone => return,
+        };
+        self.failing += LEARN * (failed - self.failing);
+        if end == RunEnd::Done && !run.judged {
+            self.learn_pace(run.estimate, ran);
+        }
+    }
+
+    fn learn_pace(&mut self, estimate: Duration, ran: Duration) {
+        if estimate.is_zero() || ran.is_zero() {
+            return;
+        }
+        let ratio = (ran.as_secs_f32() / estimate.as_secs_f32()).ln();
+        self.pace += LEARN * (ratio.clamp(-3.0, 3.0) - self.pace);
+    }
+
+    /// Sends to the entry process if it is linked.
+    fn send(&self, to: &NodeRef, msg: ToEntry, out: &mut Vec<Action>) -> bool {
+        let linked = self
+            .entries
+            .get(&to.name)
+            .is_some_and(|entry| entry.linked && entry.node == *to);
+        if linked {
+            out.push(Action::Send(to.name.clone(), msg));
+        }
+        linked
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/fleet.rs
@@ -0,0 +1,353 @@
+//! The workers as one entry sees them: room, speed, health.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::Uptime;
+use super::job::{Resources, RunId, Step};
+use super::msg::{Room, WorkerInfo};
+use crate::ids::Name;
+
+/// How much longer a task runs away from the rack of its data, before it was seen.
+const OTHER_RACK_FACTOR: f64 = 1.5;
+/// A worker whose share of failures is above this, and far above its peers', is ejected.
+const EJECT_ABOVE: f32 = 0.5;
+/// A worker is ejected only if it fails this many times as often as the median of its peers.
+const EJECT_TIMES_PEERS: f32 = 3.0;
+/// At most this share of a pool's workers is ejected.
+const MAX_EJECTED_SHARE: f64 = 0.34;
+/// Time until an ejected worker is tried with one run; doubles with each return to ejection.
+const FIRST_EJECTION: Duration = Duration::from_millis(1000);
+const MAX_EJECTION: Duration = Duration::from_secs(8);
+/// What was learned of a worker's speed counts half after this time without news of it.
+const PACE_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Of two workers with the same expected time, an empty one is preferred as if it were this much
+/// faster than a full one.
+const SPREAD_WEIGHT: f64 = 0.25;
+/// Random share of the score, so that entries do not all choose the same worker.
+const JITTER: f64 = 0.06;
+
+/// One worker.
+#[derive(Debug)]
+pub struct Worker {
+    /// What it is like; `None` until its agent told.
+    pub info: Option<WorkerInfo>,
+    /// The latest report.
+    pub room: Room,
+    /// When it came.
+    pub reported: Uptime,
+    /// When its agent's link was lost; `None` while it is up.
+    pub down_since: Option<Uptime>,
+    /// Starts sent on the present link.
+    sent: u64,
+    /// Starts that the latest report does not count yet: number and needs.
+    unseen: Vec<(u64, Resources)>,
+    /// Runs of this entry there.
+    pub runs: u32,
+    ejected_until: Option<Uptime>,
+    ejection: Duration,
+    /// Whether the entry left it alone after a refusal, until the next report.
+    refused: bool,
+}
+
+impl Worker {
+    /// Room that is surely not taken.
+    pub fn free(&self) -> Resources {
+        let unseen = self.unseen.iter();
+        unseen.fold(self.room.free, |free, (_, needs)| free.minus(*needs))
+    }
+
+    fn takes(&self) -> bool {
+        self.down_since.is_none() && self.room.open && !self.refused && self.info.is_some()
+    }
+
+    fn serves(&self, pool: &Name) -> bool {
+        self.info
+            .as_ref()
+            .is_some_and(|info| info.pool.as_ref() == Some(pool))
+    }
+
+    fn has_label(&self, label: &Name) -> bool {
+        self.info
+            .as_ref()
+            .is_some_and(|info| info.labels.contains(label))
+    }
+}
+
+/// All workers that this entry has heard of.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    workers: IndexMap<Name, Worker>,
+}
+
+/// A worker that was chosen for a task, with what decided.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The worker.
+    pub worker: Name,
+    /// The expected run time there.
+    pub expected: Duration,
+    /// The room that it was believed to have.
+    pub free: Resources,
+    /// Age of that belief.
+    pub age: Duration,
+}
+
+impl Fleet {
+    /// The workers by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&Name, &Worker)> {
+        self.workers.iter()
+    }
+
+    /// One worker.
+    pub fn get(&self, name: &str) -> Option<&Worker> {
+        self.workers.get(name)
+    }
+
+    /// Whether any worker may be sent runs.
+    pub fn any_open(&self) -> bool {
+        self.workers.values().any(Worker::takes)
+    }
+
+    /// An agent's link is up; its starts count anew.
+    pub fn up(&mut self, now: Uptime, name: &Name) {
+        let worker = self.workers.entry(name.clone()).or_insert_with(|| Worker {
+            info: None,
+            room: Room::default(),
+            reported: now,
+            down_since: None,
+            sent: 0,
+            unseen: Vec::new(),
+            runs: 0,
+            ejected_until: None,
+            ejection: FIRST_EJECTION,
+            refused: false,
+        });
+        worker.down_since = None;
+        worker.sent = 0;
+        worker.unseen.clear();
+        worker.room.open = false;
+        worker.refused = false;
+    }
+
+    /// An agent's link is lost.
+    pub fn down(&mut self, now: Uptime, name: &Name) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.down_since = Some(now);
+            worker.room.open = false;
+        }
+    }
+
+    /// Forgets workers that were away for `time` and hold no run.
+    pub fn tidy(&mut self, now: Uptime, time: Duration) {
+        self.workers.retain(|_, worker| {
+            worker.runs > 0 || worker.down_since.is_none_or(|since| now < since + time)
+        });
+    }
+
+    /// An agent told what its worker is like.
+    pub fn on_info(&mut self, name: &Name, info: WorkerInfo) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.info = Some(info);
+        }
+    }
+
+    /// An agent told its worker's room. Returns whether the worker was ejected now.
+    pub fn on_room(&mut self, now: Uptime, name: &Name, room: Room) -> bool {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return false;
+        };
+        worker.room = room;
+        worker.reported = now;
+        worker.refused = false;
+        worker.unseen.retain(|(number, _)| *number > room.seen);
+        self.judge(now, name)
+    }
+
+    /// Ejects a worker that fails far more than its peers, and lets one back that no longer does.
+    fn judge(&mut self, now: Uptime, name: &Name) -> bool {
+        let Some(worker) = self.workers.get(name) else {
+            return false;
+        };
+        let Some(pool) = worker.info.as_ref().and_then(|info| info.pool.clone()) else {
+            return false;
+        };
+        let failing = worker.room.failing;
+        let was_ejected = worker.ejected_until.is_some();
+        if failing < EJECT_ABOVE / 2.0 {
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.ejected_until = None;
+                worker.ejection = FIRST_EJECTION;
+            }
+            return false;
+        }
+        if was_ejected || failing < EJECT_ABOVE {
+            return false;
+        }
+        let peers: Vec<f32> = self
+            .peers(&pool)
+            .filter(|(other, _)| *other != name)
+            .map(|(_, peer)| peer.room.failing)
+            .collect();
+        if failing < EJECT_TIMES_PEERS * median(peers) || !self.may_eject(&pool) {
+            return false;
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.ejected_until = Some(now + worker.ejection);
+        }
+        true
+    }
+
+    fn peers<'a>(&'a self, pool: &'a Name) -> impl Iterator<Item = (&'a Name, &'a Worker)> {
+        let open = move |worker: &Worker| worker.down_since.is_none() && worker.serves(pool);
+        self.workers.iter().filter(move |(_, worker)| open(worker))
+    }
+
+    fn may_eject(&self, pool: &Name) -> bool {
+        let all = self.peers(pool).count();
+        let ejected = self
+            .peers(pool)
+            .filter(|(_, worker)| worker.ejected_until.is_some())
+            .count();
+        (ejected + 1) as f64 <= (all as f64 * MAX_EJECTED_SHARE).max(1.0) && all > 1
+    }
+
+    /// Whether any worker of the pool that was ever heard of could hold one task of the step.
+    pub fn could_ever_run(&self, pool: &Name, step: &Step) -> bool {
+        let mut known = false;
+        for worker in self.workers.values().filter(|worker| worker.serves(pool)) {
+            known = true;
+            let capacity = worker.info.as_ref().map(|info| info.capacity);
+            let fits = step.needs.fits(capacity.unwrap_or_default());
+            let labelled = step.label.as_ref().is_none_or(|l| worker.has_label(l));
+            if fits && labelled {
+                return true;
+            }
+        }
+        !known
+    }
+
+    /// Run time over estimate that is expected of a worker, against the median of its pool.
+    fn slowdown(&self, now: Uptime, worker: &Worker, median_pace: f64) -> f64 {
+        let away = f64::from(worker.room.pace) - median_pace;
+        let age = now.saturating_sub(worker.reported).as_secs_f64();
+        let weight = 0.5_f64.powf(age / PACE_HALF_LIFE.as_secs_f64());
+        (away * weight).exp()
+    }
+
+    /// How much longer tasks run on a worker than on the median one of its pool.
+    pub fn slowdown_of(&self, now: Uptime, name: &Name, pool: &Name) -> f64 {
+        let median_pace = self.median_pace(pool);
+        self.workers
+            .get(name)
+            .map_or(1.0, |worker| self.slowdown(now, worker, median_pace))
+    }
+
+    /// The median pace of a pool's workers.
+    pub fn median_pace(&self, pool: &Name) -> f64 {
+        let paces = self.peers(pool).map(|(_, worker)| worker.room.pace);
+        f64::from(median(paces.collect()))
+    }
+
+    /// The worker on which a task is expected to end first.
+    pub fn choose<F>(
+        &self,
+        now: Uptime,
+        pool: &Name,
+        step: &Step,
+        allowed: F,
+        rng: &mut fastrand::Rng,
+    ) -> Option<Choice>
+    where
+        F: Fn(&Name) -> bool,
+    {
+        let median_pace = self.median_pace(pool);
+        let mut best: Option<(f64, Choice)> = None;
+        for (name, worker) in self.workers.iter().filter(|(_, w)| w.takes()) {
+            let free = worker.free();
+            let labelled = step.label.as_ref().is_none_or(|l| worker.has_label(l));
+            if !worker.serves(pool) || !step.needs.fits(free) || !labelled || !allowed(name) {
+                continue;
+            }
+            if !Self::may_try(now, worker) {
+                continue;
+            }
+            let mut factor = self.slowdown(now, worker, median_pace);
+            if step
+                .rack
+                .as_ref()
+                .is_some_and(|rack| !worker.has_label(rack))
+            {
+                factor *= OTHER_RACK_FACTOR;
+            }
+            let capacity = worker
+                .info
+                .as_ref()
+                .map_or(1, |i| i.capacity.cpu_milli.max(1));
+            let taken = 1.0 - f64::from(free.cpu_milli) / f64::from(capacity);
+            let score = factor * (1.0 + SPREAD_WEIGHT * taken) * (1.0 + JITTER * rng.f64());
+            if best.as_ref().is_none_or(|(least, _)| score < *least) {
+                let choice = Choice {
+                    worker: name.clone(),
+                    expected: step
+                        .estimate
+                        .mul_f64((factor * median_pace.exp()).min(100.0)),
+                    free,
+                    age: now.saturating_sub(worker.reported),
+                };
+                best = Some((score, choice));
+            }
+        }
+        best.map(|(_, choice)| choice)
+    }
+
+    /// An ejected worker gets one run at a time once its time is over.
+    fn may_try(now: Uptime, worker: &Worker) -> bool {
+        let Some(until) = worker.ejected_until else {
+            return true;
+        };
+        now >= until && worker.runs == 0
+    }
+
+    /// Counts a start that is sent now.
+    pub fn sent(&mut self, now: Uptime, name: &Name, needs: Resources) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.sent += 1;
+            worker.unseen.push((worker.sent, needs));
+            worker.runs += 1;
+            if worker.ejected_until.is_some() {
+                worker.ejection = (worker.ejection * 2).min(MAX_EJECTION);
+                worker.ejected_until = Some(now + worker.ejection);
+            }
+        }
+    }
+
+    /// A run there is over.
+    pub fn over(&mut self, name: &Name) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.runs = worker.runs.saturating_sub(1);
+        }
+    }
+
+    /// A start was refused: the worker gets nothing more before its next report.
+    pub fn refused(&mut self, name: &Name, _run: RunId) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.refused = true;
+        }
+    }
+
+    /// Ejected workers.
+    pub fn ejected(&self) -> usize {
+        let ejected = |worker: &&Worker| worker.ejected_until.is_some();
+        self.workers.values().filter(ejected).count()
+    }
+}
+
+fn median(mut values: Vec<f32>) -> f32 {
+    if values.is_empty() {
+        return 0.0;
+    }
+    values.sort_by(f32::total_cmp);
+    values[values.len() / 2]
+}
--- a/crates/core/src/raft.rs
+++ b/crates/core/src/raft.rs
@@ -34,6 +34,10 @@
 pub const COMPACT_AFTER: usize = 1000;
 /// A learner that is silent for this long is dropped.
 const LEARNER_TIMEOUT: Duration = Duration::from_secs(5);
+/// A voter that is silent for this long makes room for a new server that has caught up.
+const GONE_AFTER: Duration = Duration::from_secs(10);
+/// The most voters.
+const MAX_VOTERS: usize = 9;
 /// Heartbeat rounds whose times are remembered.
 const REMEMBERED_ROUNDS: usize = 64;
 
@@ -159,6 +163,13 @@
     pub compact: bool,
 }
 
+/// A round that was begun to confirm a read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReadRound {
+    term: u64,
+    round: u64,
+}
+
 /// What a server is in its term.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -181,6 +192,8 @@
     matched: u64,
     /// When the last acknowledged round was sent.
     acked: Option<Instant>,
+    /// The last acknowledged round.
+    acked_round: u64,
     /// When the server was last heard from.
     heard: Instant,
 }
@@ -281,6 +294,64 @@
         ]
     }
 
+    /// The first records of a new cluster whose voters all found it, each with the same records.
+    pub fn founding_records(me: &VoterId, voters: &[VoterId]) -> Vec<Record> {
+        let first = Entry {
+            index: 1,
+            term: 1,
+            command: Command::Voters(voters.to_vec()),
+        };
+        vec![
+            Record::Identity(me.clone()),
+            Record::Vote {
+                term: 1,
+                voted_for: None,
+            },
+            Record::Append(first),
+        ]
+    }
+
+    /// Sets the names that may become voters, and that a new server asks to be admitted.
+    pub fn set_allowed(&mut self, allowed: Vec<Name>) {
+        self.allowed = allowed;
+    }
+
+    /// Begins a round that shows whether this server still leads. `None` unless it seems to.
+    pub fn begin_read(&mut self, now: Instant, fx: &mut Effects) -> Option<ReadRound> {
+        if !self.is_leader() || !self.term_committed() {
+            return None;
+        }
+        self.broadcast(now, fx);
+        Some(ReadRound {
+            term: self.term,
+            round: self.round,
+        })
+    }
+
+    /// Whether a majority answered the round or a later one, so that the state at its beginning
+    /// was the newest. `None` when this server no longer leads in that term.
+    pub fn is_read_confirmed(&self, read: ReadRound) -> Option<bool> {
+        if !self.is_leader() || self.term != read.term {
+            return None;
+        }
+        let acked = |voter: &VoterId| {
+            *voter == self.me
+                || self
+                    .peers
+                    .get(voter)
+                    .is_some_and(|progress| progress.acked_round >= read.round)
+        };
+        Some(self.is_majority(acked))
+    }
+
+    /// Replaces all applied entries by a snapshot now.
+    pub fn compact_now(&mut self, fx: &mut Effects) {
+        if self.applied > self.base.index {
+            self.compact();
+            fx.compact = true;
+        }
+    }
+
     /// All records that a new journal needs.
     pub fn journal(&self) -> Vec<Record> {
         let mut records = vec![Record::Identity(self.me.clone())];
--- a/crates/core/src/raft/election.rs
+++ b/crates/core/src/raft/election.rs
@@ -103,6 +103,11 @@
         last: (u64, u64),
         fx: &mut Effects,
     ) {
+        if self.is_leader() && !self.voters.contains(from) {
+            // It was removed while it was away: it learns so, and asks to be admitted again.
+            self.on_join(now, from, fx);
+            return;
+        }
         let recent = |at: Instant| now.duration_since(at) < ELECTION_MIN;
         let led = self.is_leader() && self.acked_since(now, ELECTION_MIN)
             || self.leader.is_some() && self.leader_heard.is_some_and(recent);
--- a/crates/core/src/raft/replicate.rs
+++ b/crates/core/src/raft/replicate.rs
@@ -236,6 +236,7 @@
         };
         progress.heard = now;
         progress.acked = progress.acked.max(sent);
+        progress.acked_round = progress.acked_round.max(round);
         if ok {
             progress.matched = progress.matched.max(matched);
             progress.next = progress.next.max(progress.matched + 1);
--- a/crates/core/src/raft/voters.rs
+++ b/crates/core/src/raft/voters.rs
@@ -1,8 +1,8 @@
 //! Voters: joining, admission and removal, one change at a time.
 
 use super::{
-    Body, Command, ELECTION_MIN, Effects, Instant, LEARNER_TIMEOUT, Progress, Raft, RaftMsg,
-    VoterId,
+    Body, Command, ELECTION_MIN, Effects, GONE_AFTER, Instant, LEARNER_TIMEOUT, MAX_VOTERS,
+    Progress, Raft, RaftMsg, VoterId,
 };
 
 impl Raft {
@@ -43,6 +43,7 @@
                     next,
                     matched: 0,
                     acked: Some(now),
+                    acked_round: 0,
                     heard: now,
                 });
             }
@@ -62,6 +63,7 @@
             next,
             matched: 0,
             acked: None,
+            acked_round: 0,
             heard: now,
         });
         progress.heard = now;
@@ -89,9 +91,28 @@
         let before = voters.len();
         voters.retain(|voter| voter.name != learner.name);
         if voters.len() == before {
-            voters.push(learner);
+            // A server that is gone for good makes room first.
+            match self.gone_voter(now) {
+                Some(gone) => voters.retain(|voter| *voter != gone),
+                None if voters.len() < MAX_VOTERS => voters.push(learner),
+                None => return,
+            }
         }
         self.append_own(Command::Voters(voters), fx);
         self.sync_peers(now);
     }
+
+    /// A voter that was not heard of for long, if a majority of the others is there.
+    fn gone_voter(&self, now: Instant) -> Option<VoterId> {
+        let silent = |voter: &VoterId| {
+            *voter != self.me
+                && self
+                    .peers
+                    .get(voter)
+                    .is_none_or(|progress| now.duration_since(progress.heard) >= GONE_AFTER)
+        };
+        let gone = self.voters.iter().find(|voter| silent(voter))?;
+        let present = self.voters.iter().filter(|voter| !silent(voter)).count();
+        (present > (self.voters.len() - 1) / 2).then(|| gone.clone())
+    }
 }
--- /dev/null
+++ b/crates/entry/src/pooled/notes.rs
@@ -0,0 +1,144 @@
+//! Log lines and metrics of the scheduler's decisions.
+
+use std::sync::LazyLock;
+use std::time::Duration;
+
+use prometheus::{HistogramVec, IntCounter, IntCounterVec};
+use rw_core::pool::scheduler::{Answer, Note, Scheduler};
+use rw_host::metrics;
+use rw_host::net::Net;
+
+static JOBS: LazyLock<HistogramVec> = LazyLock::new(|| {
+    metrics::histograms(
+        "rw_pooled_job_seconds",
+        "Time from submission to answer",
+        &["queue", "answer"],
+    )
+});
+static AIMS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_aims_total",
+        "Completed jobs within and past their aim",
+        &["queue", "aim"],
+    )
+});
+static WAITS: LazyLock<HistogramVec> = LazyLock::new(|| {
+    metrics::histograms(
+        "rw_pooled_wait_seconds",
+        "Time of tasks until they were sent to a worker",
+        &["queue"],
+    )
+});
+static RUNS: LazyLock<IntCounterVec> =
+    LazyLock::new(|| metrics::counters("rw_pooled_runs_total", "Runs by their end", &["end"]));
+static MOVES: LazyLock<IntCounter> =
+    LazyLock::new(|| metrics::counter("rw_pooled_moves_total", "Runs stopped to start elsewhere"));
+
+fn label(answer: &Answer) -> (&'static str, &'static str) {
+    match answer {
+        Answer::Completed => ("completed", ""),
+        Answer::Failed(reason) => ("failed", reason),
+        Answer::NotRun { reason, .. } => ("not-run", reason),
+        Answer::Broken(reason) => ("broken", reason),
+    }
+}
+
+fn ms(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
+/// Logs and counts a note. `version` is the catalogue in force.
+pub fn note(note: &Note, version: u64) {
+    match note {
+        Note::Accepted {
+            job,
+            queue,
+            tasks,
+            aim,
+            deadline,
+            waits_for,
+        } => {
+            log::info!(job:% = job, queue:% = queue, tasks = tasks, aim_ms = ms(*aim),
+                deadline_ms = ms(*deadline), version = version,
+                waits_for = waits_for.as_deref().unwrap_or(""); "job accepted");
+        }
+        Note::Placed {
+            run,
+            choice,
+            waited,
+            queue,
+        } => {
+            WAITS
+                .with_label_values(&[&**queue])
+                .observe(waited.as_secs_f64());
+            log::info!(run:% = run, worker:% = choice.worker, free_cpu = choice.free.cpu_milli,
+                age_ms = ms(choice.age), expected_ms = ms(choice.expected),
+                waited_ms = ms(*waited); "run sent");
+        }
+        Note::RunOver {
+            run,
+            worker,
+            end,
+            refused,
+            ran_ms,
+        } => {
+            let end = match (end, refused) {
+                (Some(end), _) => format!("{end:?}"),
+                (None, Some(why)) => format!("{why:?}"),
+                (None, None) => "unknown".into(),
+            };
+            RUNS.with_label_values(&[&end]).inc();
+            log::info!(run:% = run, worker:% = worker, end = end, ran_ms = ran_ms; "run over");
+        }
+        Note::Moved {
+            run,
+            worker,
+            left_ms,
+            fresh,
+        } => {
+            MOVES.inc();
+            log::info!(run:% = run, worker:% = worker, left_ms:? = left_ms,
+                fresh_ms = ms(*fresh); "run moved");
+        }
+        Note::Answered {
+            job,
+            queue,
+            answer,
+            took,
+            aim,
+            starts,
+        } => {
+            let (answer, reason) = label(answer);
+            JOBS.with_label_values(&[&**queue, answer])
+                .observe(took.as_secs_f64());
+            if answer == "completed" {
+                let met = if took <= aim { "met" } else { "missed" };
+                AIMS.with_label_values(&[&**queue, met]).inc();
+            }
+            log::info!(job:% = job, queue:% = queue, answer = answer, reason = reason,
+                took_ms = ms(*took), aim_ms = ms(*aim), starts = starts; "job answered");
+        }
+        Note::Abandoned { job, took } => {
+            log::info!(job:% = job, took_ms = ms(*took); "caller hung up");
+        }
+        Note::GivenUp { job, to } => log::info!(job:% = job, entry:% = to; "job yielded"),
+        Note::Ejected { worker, failing } => {
+            log::warn!(worker:% = worker, failing = failing; "worker ejected");
+        }
+        Note::Frozen { time, jobs } => {
+            log::warn!(time_ms = ms(*time), jobs = jobs; "process stood still");
+        }
+    }
+}
+
+/// Notes what is held.
+pub fn held(core: &Scheduler, net: &Net) {
+    let set = |what: &str, value: usize| {
+        metrics::HELD.with_label_values(&[what]).set(value as i64);
+    };
+    let (conns, refused) = net.counts();
+    set("open_jobs", core.open_jobs());
+    set("ejected_workers", core.fleet().ejected());
+    set("connections", conns);
+    set("connections_refused", refused as usize);
+}
--- a/crates/host/src/clock.rs
+++ b/crates/host/src/clock.rs
@@ -1,6 +1,6 @@
 //! The clocks, read only at the adapters' edge.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use rw_core::dispatcher::Now;
 use rw_core::ids::WallMs;
@@ -20,3 +20,9 @@
         wall: wall(),
     }
 }
+
+/// Time since the machine started, counting the time that it was suspended.
+pub fn uptime() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -42,6 +42,7 @@
     Revision(u64),
     Ready(u64),
     Leaving,
+    Seeds(Vec<SocketAddr>),
 }
 
 #[derive(Debug, Default)]
@@ -122,7 +123,11 @@
 
     /// Starts the threads.
     pub fn start(self, bound: &Bound) -> std::io::Result<Cluster> {
-        let socket = bound.gossip.try_clone()?;
+        self.start_on(bound.gossip.try_clone()?, bound.key.clone())
+    }
+
+    /// Starts the threads on a bound socket.
+    pub fn start_on(self, socket: UdpSocket, key: ClusterKey) -> std::io::Result<Cluster> {
         socket.set_read_timeout(Some(TICK))?;
         let (tx, rx) = flume::bounded(256);
         let (fetch_tx, fetch_rx) = flume::bounded(1);
@@ -137,7 +142,7 @@
         let duty = Duty {
             members,
             socket,
-            key: bound.key.clone(),
+            key: key.clone(),
             rx,
             fetch_tx,
             shared,
@@ -147,7 +152,7 @@
         };
         let fetcher = Fetcher {
             cluster: cluster.clone(),
-            key: bound.key.clone(),
+            key,
             hello,
             rx: fetch_rx,
             sink: self.sink,
@@ -207,8 +212,18 @@
         self.lock().members.clone()
     }
 
+    /// Sets the addresses through which unknown members are found.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        let _ = self.tx.send(Command::Seeds(seeds));
+    }
+
     /// Answers another process that asks for the configuration.
     pub fn answer(&self, link: &Link, revision: u64) {
+        link.send(Msg::Told(self.told(revision)));
+    }
+
+    /// The reply to a process that asks for the configuration.
+    pub fn told(&self, revision: u64) -> Told {
         let shared = self.lock();
         let newer = shared
             .state
@@ -219,11 +234,10 @@
         } else {
             Vec::new()
         };
-        drop(shared);
-        link.send(Msg::Told(Told::Sync {
+        Told::Sync {
             state: newer,
             members,
-        }));
+        }
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Shared> {
@@ -290,6 +304,7 @@
             }
             Command::Ready(revision) => self.members.update_me(|me| me.ready_for = *revision),
             Command::Leaving => self.members.update_me(|me| me.leaving = true),
+            Command::Seeds(seeds) => self.members.set_seeds(seeds.clone()),
         }
     }
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,5 +8,8 @@
 pub mod link;
 pub mod logging;
 pub mod metrics;
+pub mod net;
+pub mod peers;
+pub mod pooled;
 pub mod program;
 pub mod settings;
--- a/crates/host/src/logging.rs
+++ b/crates/host/src/logging.rs
@@ -1,4 +1,4 @@
-//! Logs: one line per event on standard error, with key=value fields or as JSON.
+//! Logs: one line per event, with key=value fields or as JSON.
 
 use std::fmt::Write as _;
 use std::time::SystemTime;
@@ -6,9 +6,13 @@
 use log::LevelFilter;
 use log::kv::{Error, Key, Value, VisitSource};
 
+mod sink;
+
 use crate::settings::{Level, LogSettings};
 
-/// Sends logs to standard error.
+pub use sink::flush;
+
+/// Sends logs where the settings say.
 pub fn init(settings: &LogSettings) {
     let level = match settings.level {
         Level::Error => LevelFilter::Error,
@@ -26,8 +30,12 @@
                 text_line(message, record)
             };
             out.finish(format_args!("{line}"));
-        })
-        .chain(std::io::stderr());
+        });
+    let dispatch = if settings.stdout {
+        dispatch.chain(sink::start())
+    } else {
+        dispatch.chain(std::io::stderr())
+    };
     let _ = dispatch.apply();
 }
 
--- a/crates/host/src/program.rs
+++ b/crates/host/src/program.rs
@@ -5,7 +5,7 @@
 
 use clap::{Arg, ArgAction, Command, value_parser};
 use flume::Receiver;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use crate::link::spawn;
@@ -73,11 +73,17 @@
 
 /// Delivers the first SIGTERM or SIGINT; a second one ends the process at once.
 pub fn shutdown_signal() -> std::io::Result<Receiver<()>> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let (tx, rx) = flume::bounded(1);
     spawn("signals", move || {
-        for (count, _) in signals.forever().enumerate() {
-            if count > 0 {
+        let mut count = 0;
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                log::info!("SIGHUP: settings that may change are read again within a second");
+                continue;
+            }
+            count += 1;
+            if count > 1 {
                 std::process::exit(EXIT_FORCED);
             }
             let _ = tx.try_send(());
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -75,6 +75,9 @@
     pub level: Level,
     /// Whether lines are JSON.
     pub json: bool,
+    /// Whether lines go to standard output, through a bounded buffer that never blocks, in place
+    /// of standard error.
+    pub stdout: bool,
 }
 
 /// Levels of logs.
@@ -167,6 +170,17 @@
     }
 }
 
+impl Bound {
+    /// Binds a node's sockets.
+    pub fn of(node: &NodeSettings) -> std::io::Result<Self> {
+        Ok(Self {
+            link: TcpListener::bind(node.link)?,
+            gossip: UdpSocket::bind(node.gossip)?,
+            key: ClusterKey::new(&node.cluster_secret),
+        })
+    }
+}
+
 /// A node's bound sockets and its key.
 #[derive(Debug)]
 pub struct Bound {
