Overload: queues within their share first, late work last, begun jobs ended, truthful refusals

Change: waiting jobs are ranked in tiers; what found no room and would wait long is refused with when to come back; callers are listened to once a catalogue is in force, since a refusal is final and a missing listener is not.

--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -22,9 +22,11 @@
 const MAX_EJECTION: Duration = Duration::from_secs(8);
 /// What was learned of a worker's speed counts half after this time without news of it.
 const PACE_HALF_LIFE: Duration = Duration::from_secs(2);
-/// Of two workers with the same expected time, an empty one is preferred as if it were this much
-/// faster than a full one.
-const SPREAD_WEIGHT: f64 = 0.25;
+/// How much a full worker counts as slower than an empty one: beside nearly full fast workers, a
+/// slow one is taken for tasks that still end in time there, which leaves the fast ones to others.
+const FULL_WEIGHT: f64 = 1.2;
+/// A task is sent only where it is expected to end within this share of the time to its aim.
+const IN_TIME_SHARE: f64 = 0.97;
 /// Random share of the score, so that entries do not all choose the same worker.
 const JITTER: f64 = 0.06;
 
@@ -213,6 +215,15 @@
         (ejected + 1) as f64 <= (all as f64 * MAX_EJECTED_SHARE).max(1.0) && all > 1
     }
 
+    /// Free room over a pool's workers in thousandths of a core: work in core-milliseconds that it
+    /// could take on each second.
+    pub fn free_cpu(&self, pool: &Name) -> f64 {
+        let takes = self.peers(pool).filter(|(_, worker)| worker.takes());
+        takes
+            .map(|(_, worker)| f64::from(worker.free().cpu_milli))
+            .sum()
+    }
+
     /// Whether any worker of the pool that was ever heard of could hold one task of the step.
     pub fn could_ever_run(&self, pool: &Name, step: &Step) -> bool {
         let mut known = false;
@@ -250,12 +261,14 @@
         f64::from(median(paces.collect()))
     }
 
-    /// The worker on which a task is expected to end first.
+    /// The best worker for a task: of those on which it is expected to end within `in_time`, if
+    /// that is given, the one that is fast and has room.
     pub fn choose<F>(
         &self,
         now: Uptime,
         pool: &Name,
         step: &Step,
+        in_time: Option<Duration>,
         allowed: F,
         rng: &mut fastrand::Rng,
     ) -> Option<Choice>
@@ -286,7 +299,13 @@
                 .as_ref()
                 .map_or(1, |i| i.capacity.cpu_milli.max(1));
             let taken = 1.0 - f64::from(free.cpu_milli) / f64::from(capacity);
-            let score = factor * (1.0 + SPREAD_WEIGHT * taken) * (1.0 + JITTER * rng.f64());
+            let expected = step
+                .estimate
+                .mul_f64((factor * median_pace.exp()).min(100.0));
+            if in_time.is_some_and(|time| expected > time.mul_f64(IN_TIME_SHARE)) {
+                continue;
+            }
+            let score = factor * (1.0 + FULL_WEIGHT * taken * taken) * (1.0 + JITTER * rng.f64());
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 let choice = Choice {
                     worker: name.clone(),
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -1,5 +1,6 @@
 //! The decisions of an entry on pooled jobs: admission, order, placement, retries, answers.
 
+mod load;
 mod place;
 mod runs;
 
@@ -10,6 +11,8 @@
 use fastrand::Rng;
 use indexmap::IndexMap;
 
+use load::PoolLoad;
+
 use super::Uptime;
 use super::catalog::Queue;
 use super::fleet::{Choice, Fleet};
@@ -144,6 +147,13 @@
         /// The entry that asked.
         to: Name,
     },
+    /// A job is refused since too much waits before it.
+    Overload {
+        /// The job.
+        job: JobId,
+        /// Expected time until its turn.
+        wait: Duration,
+    },
     /// A worker fails far more than its peers.
     Ejected {
         /// The worker.
@@ -213,10 +223,25 @@
     /// Starts sent.
     starts: u32,
     rank: Rank,
+    /// The tier in which it last found no worker.
+    missed: Option<Tier>,
+}
+
+/// How waiting jobs are told apart; the first goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Tier {
+    /// Can meet its aim.
+    InTime,
+    /// Will be late, but part of it was sent: to end it costs less than to begin another job.
+    Begun,
+    /// Can meet its aim, but its queue takes more than its share of an overloaded pool.
+    AboveShare,
+    /// Is expected to miss its aim.
+    Late,
 }
 
-/// Order of waiting jobs: those that can still meet their aim by aim, then the others.
-type Rank = (bool, Uptime, JobId);
+/// Order of waiting jobs: by tier, then by aim.
+type Rank = (Tier, Uptime, JobId);
 
 /// A run that was ordered to stop after its job was given up.
 #[derive(Debug)]
@@ -238,6 +263,9 @@
     /// Highest attempts of jobs that ended here while runs were left, so that a rerun goes on above.
     past_attempts: IndexMap<JobId, u32>,
     told_waiting: u32,
+    /// Work sent of late, by pool.
+    loads: IndexMap<Name, PoolLoad>,
+    next_rank: Uptime,
     seen: Uptime,
     draining: bool,
     rng: Rng,
@@ -255,6 +283,8 @@
             yields: Vec::new(),
             past_attempts: IndexMap::new(),
             told_waiting: 0,
+            loads: IndexMap::new(),
+            next_rank: now,
             seen: now,
             draining: false,
             rng,
@@ -363,7 +393,8 @@
             deadline: now + deadline,
             hold,
             starts: 0,
-            rank: (false, now + objective, id),
+            rank: (Tier::InTime, now + objective, id),
+            missed: None,
         };
         self.owners.began(id);
         if job.hold == Hold::None {
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -2,43 +2,34 @@
 
 use super::super::Uptime;
 use super::super::msg::{Start, ToAgent};
-use super::{Action, JobId, Name, Note, Rank, Scheduler, TaskState};
+use super::{Action, Duration, JobId, Name, Note, Rank, Scheduler, TaskState, Tier};
 
 /// Waiting jobs without a place that are tried before the rest is left for the next report.
 const MAX_MISSES: usize = 12;
+/// Late tasks wait at agents behind those that can still meet their aim.
+const LATE_DUE: Duration = Duration::from_secs(10);
 
 impl Scheduler {
     /// Sends waiting tasks to workers with room, in order.
     pub(super) fn pump(&mut self, now: Uptime, out: &mut Vec<Action>) {
-        self.rank_late(now);
+        self.rank_waiting(now, out);
         let order: Vec<Rank> = self.waiting.iter().copied().collect();
         let mut misses = 0;
         for rank in order {
-            if !self.place_job(now, rank.2, out) {
+            if misses < MAX_MISSES && !self.place_job(now, rank.2, out) {
                 misses += 1;
             }
             if misses >= MAX_MISSES {
-                break;
+                // What waits behind them would find no room either.
+                self.miss(rank.2);
             }
         }
         self.tell_waiting(out);
     }
 
-    /// Moves jobs that missed their aim behind those that can still meet it.
-    fn rank_late(&mut self, now: Uptime) {
-        let late: Vec<Rank> = self
-            .waiting
-            .iter()
-            .take_while(|(late, aim, _)| !*late && *aim <= now)
-            .copied()
-            .collect();
-        for rank in late {
-            self.waiting.remove(&rank);
-            let rank = (true, rank.1, rank.2);
-            if let Some(job) = self.jobs.get_mut(&rank.2) {
-                job.rank = rank;
-                self.waiting.insert(rank);
-            }
+    fn miss(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.missed = Some(job.rank.0);
         }
     }
 
@@ -65,8 +56,14 @@
                 step.per_worker == 0 || on_worker(name) < usize::from(step.per_worker)
             };
             let pool = &job.queue.pool;
-            let Some(choice) = self.fleet.choose(now, pool, &step, allowed, &mut self.rng) else {
+            let in_time = (job.rank.0 < Tier::Late && job.rank.0 != Tier::Begun)
+                .then(|| job.aim.saturating_sub(now));
+            let choice = self
+                .fleet
+                .choose(now, pool, &step, in_time, allowed, &mut self.rng);
+            let Some(choice) = choice else {
                 placed_all = false;
+                job.missed = Some(job.rank.0);
                 break;
             };
             let task = &mut job.tasks[i];
@@ -79,11 +76,14 @@
             job.starts += 1;
             let run = job.run(&job.tasks[i]);
             self.fleet.sent(now, &choice.worker, step.needs);
+            let work = step.estimate.as_secs_f64() * f64::from(step.needs.cpu_milli);
+            let load = self.loads.entry(job.queue.pool.clone()).or_default();
+            load.sent(now, &job.queue.name, work);
             let start = Start {
                 run,
                 needs: step.needs,
                 estimate_ms: step.estimate.as_millis() as u32,
-                due_ms: job.aim.saturating_sub(now).as_millis() as u32,
+                due_ms: in_time.unwrap_or(LATE_DUE).as_millis() as u32,
                 payload: job.spec.payload.clone(),
             };
             out.push(Action::Send(choice.worker.clone(), ToAgent::Start(start)));
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -242,7 +242,10 @@
         };
         let elsewhere = |other: &Name| other != name;
         let pool = &job.queue.pool;
-        let Some(choice) = self.fleet.choose(now, pool, step, elsewhere, &mut self.rng) else {
+        let Some(choice) = self
+            .fleet
+            .choose(now, pool, step, None, elsewhere, &mut self.rng)
+        else {
             return;
         };
         // A long task on a sound worker would be as long elsewhere: only the difference in speed
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -128,8 +128,6 @@
         mut net,
         rx,
     } = start(&setup.node, Role::Entry, MAX_CONNS).map_err(at("start"))?;
-    net.listen(setup.callers, Accepts::Http(CALLERS))
-        .map_err(at("listen to callers"))?;
     net.listen(setup.readiness, Accepts::Http(READINESS))
         .map_err(at("listen to readiness"))?;
     let now = clock::uptime();
@@ -141,6 +139,7 @@
         port: setup.port,
         reload: setup.reload,
         queues: None,
+        callers: Some(setup.callers),
         version: 0,
         leaving: None,
         next_tick: now,
@@ -155,7 +154,7 @@
         let now = clock::uptime();
         daemon.core.observe(now, &mut out);
         while let Ok(event) = rx.try_recv() {
-            daemon.on_outside(now, event);
+            daemon.on_outside(now, event)?;
         }
         for event in events.drain(..) {
             daemon.on_net(now, event, &mut out);
@@ -179,6 +178,9 @@
     reload: Box<dyn FnMut() -> Option<Reloaded> + Send>,
     /// `None` until a catalogue is in force.
     queues: Option<QueueTable>,
+    /// Where callers will be listened to once a catalogue is in force. Until then a caller finds no
+    /// connection and comes again, where a refusal would be final.
+    callers: Option<SocketAddr>,
     version: u64,
     leaving: Option<Uptime>,
     next_tick: Uptime,
@@ -199,11 +201,15 @@
         now >= since + DRAIN_TIME && idle || now >= since + DRAIN_LIMIT
     }
 
-    fn on_outside(&mut self, now: Uptime, event: Outside) {
+    fn on_outside(&mut self, now: Uptime, event: Outside) -> Result<(), EntryError> {
         match event {
             Outside::Cluster(ClusterEvent::State(state)) => {
                 if let Some(catalog) = &state.catalog {
                     self.on_catalog(catalog);
+                    if let Some(addr) = self.callers.take() {
+                        let listens = self.net.listen(addr, Accepts::Http(CALLERS));
+                        listens.map_err(at("listen to callers"))?;
+                    }
                 }
             }
             Outside::Cluster(ClusterEvent::Members(members)) => self.on_members(now, &members),
@@ -215,6 +221,7 @@
             }
             Outside::Reload => self.next_reload = now,
         }
+        Ok(())
     }
 
     fn on_catalog(&mut self, catalog: &Catalog) {
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -122,6 +122,9 @@
             log::info!(job:% = job, took_ms = ms(*took); "caller hung up");
         }
         Note::GivenUp { job, to } => log::info!(job:% = job, entry:% = to; "job yielded"),
+        Note::Overload { job, wait } => {
+            log::info!(job:% = job, wait_ms = ms(*wait); "job refused for overload");
+        }
         Note::Ejected { worker, failing } => {
             log::warn!(worker:% = worker, failing = failing; "worker ejected");
         }
