Model of entries, agents, workers and callers: no task runs twice at once

Findings on the way were the model's own: orders must name the incarnation they are meant for, and a frozen entry finds a hang-up when it wakes.

--- /dev/null
+++ b/crates/core/tests/pool_properties.rs
@@ -0,0 +1,82 @@
+//! No task of a pooled job runs twice at the same time, and no worker is brought over its room,
+//! whatever is killed, frozen, cut, lost or late.
+//!
+//! `RW_SEED`, `RW_STEPS` and `RW_TESTS` choose other runs.
+
+#[path = "support/pool.rs"]
+mod pool;
+
+use std::env;
+
+use pool::{ALL_FAULTS, FAULT_STORM, Faults, World};
+use quickcheck::{QuickCheck, TestResult};
+
+const STEPS: u64 = 4_000;
+
+fn steps() -> u64 {
+    env::var("RW_STEPS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(STEPS)
+}
+
+fn run(seed: u64, faults: Faults) -> World {
+    let mut world = World::new(seed, 3, 4, faults);
+    for _ in 0..steps() {
+        world.step();
+    }
+    world
+}
+
+#[test]
+fn no_task_runs_twice_at_once() {
+    let seed = env::var("RW_SEED")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(1);
+    let world = run(seed, ALL_FAULTS);
+    println!(
+        "seed {seed}: {} completed, {} refused, {} resent",
+        world.completed, world.refused, world.resent
+    );
+    assert!(
+        world.completed > 100,
+        "only {} jobs were completed",
+        world.completed
+    );
+}
+
+#[test]
+fn no_task_runs_twice_at_once_over_many_seeds() {
+    fn property(seed: u64, storm: bool) -> TestResult {
+        run(seed, if storm { FAULT_STORM } else { ALL_FAULTS });
+        TestResult::passed()
+    }
+    let tests = env::var("RW_TESTS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(24);
+    QuickCheck::new()
+        .tests(tests)
+        .quickcheck(property as fn(u64, bool) -> TestResult);
+}
+
+#[test]
+fn without_faults_all_jobs_are_completed() {
+    let none = Faults {
+        kill_entry: 0,
+        kill_agent: 0,
+        freeze: 0,
+        cut: 0,
+        lost_order: 0,
+        worker_crash: 0,
+        hang_up: 0,
+    };
+    let world = run(3, none);
+    assert!(
+        world.completed > 200,
+        "only {} jobs were completed",
+        world.completed
+    );
+    assert_eq!(world.resent, 0);
+}
--- /dev/null
+++ b/crates/core/tests/support/pool.rs
@@ -0,0 +1,955 @@
+//! A model of entries, agents, workers and callers of pooled jobs, driven step by step with faults.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fastrand::Rng;
+use indexmap::IndexMap;
+use rw_core::ids::{Name, NodeRef};
+use rw_core::pool::catalog::Queue;
+use rw_core::pool::driver::{
+    self, Beat, BeatState, Call, Driver, EndedRow, Reply, RunningRow, StartRefusal,
+};
+use rw_core::pool::job::{Job, JobId, Resources, RunEnd, RunId, Step, TaskId};
+use rw_core::pool::msg::{Peer, ToAgent, ToEntry};
+use rw_core::pool::scheduler::{self, Answer, Scheduler};
+use rw_core::pool::{PING_EVERY, SILENCE, Uptime};
+
+/// One step of the model.
+pub const STEP: Duration = Duration::from_millis(5);
+const CAPACITY: u32 = 8_000;
+/// Events that are told when a check fails.
+const TRACE: usize = 150;
+/// A caller sends a job again this long after its connection broke, at the earliest.
+const RESEND_AFTER: Duration = Duration::from_millis(1300);
+/// The longest lease that a worker grants.
+const MAX_LEASE: u64 = 1000;
+
+/// How often each fault strikes, in a thousand steps.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    pub kill_entry: u32,
+    pub kill_agent: u32,
+    pub freeze: u32,
+    pub cut: u32,
+    pub lost_order: u32,
+    pub worker_crash: u32,
+    pub hang_up: u32,
+}
+
+/// All of them, at a rate that leaves time for work between.
+pub const ALL_FAULTS: Faults = Faults {
+    kill_entry: 1,
+    kill_agent: 1,
+    freeze: 1,
+    cut: 2,
+    lost_order: 40,
+    worker_crash: 1,
+    hang_up: 4,
+};
+
+/// Hardly a moment without one.
+pub const FAULT_STORM: Faults = Faults {
+    kill_entry: 3,
+    kill_agent: 3,
+    freeze: 5,
+    cut: 6,
+    lost_order: 80,
+    worker_crash: 2,
+    hang_up: 20,
+};
+
+struct WorkerRun {
+    needs: Resources,
+    left: Duration,
+    total: Duration,
+}
+
+/// A worker by the platform's rules: leases, bars, late orders.
+struct Worker {
+    incarnation: u64,
+    beat: u64,
+    /// Its clock runs by this factor.
+    drift: f64,
+    lease_until: u64,
+    runs: IndexMap<RunId, WorkerRun>,
+    ended: Vec<EndedRow>,
+    ends: u64,
+    /// Highest attempt that was stopped or ended, by task.
+    barred: IndexMap<TaskId, u32>,
+    late: Vec<(Uptime, Call)>,
+}
+
+impl Worker {
+    fn new(rng: &mut Rng, incarnation: u64) -> Self {
+        Self {
+            incarnation,
+            beat: 0,
+            drift: 0.98 + 0.02 * rng.f64(),
+            lease_until: 0,
+            runs: IndexMap::new(),
+            ended: Vec::new(),
+            ends: 0,
+            barred: IndexMap::new(),
+            late: Vec::new(),
+        }
+    }
+
+    fn name(&self, a: usize) -> Name {
+        format!("w{a}-{}", self.incarnation).into()
+    }
+
+    fn clock(&self, now: Uptime) -> u64 {
+        (now.as_secs_f64() * 1000.0 * self.drift) as u64 + 5_000
+    }
+
+    fn end(&mut self, run: RunId, end: RunEnd) {
+        self.runs.shift_remove(&run);
+        self.ends += 1;
+        let number = self.ends;
+        self.ended.push(EndedRow { number, run, end });
+        let bar = self.barred.entry(run.task).or_default();
+        *bar = (*bar).max(run.attempt);
+    }
+
+    fn step(&mut self, now: Uptime) {
+        let over: Vec<RunId> = self
+            .runs
+            .iter_mut()
+            .filter_map(|(id, run)| {
+                run.left = run.left.saturating_sub(STEP);
+                run.left.is_zero().then_some(*id)
+            })
+            .collect();
+        for run in over {
+            self.end(run, RunEnd::Done);
+        }
+        if self.clock(now) > self.lease_until {
+            for run in self.runs.keys().copied().collect::<Vec<_>>() {
+                self.end(run, RunEnd::Gone);
+            }
+        }
+    }
+
+    fn extend(&mut self, now: Uptime, deadline: u64) {
+        let longest = self.clock(now) + MAX_LEASE;
+        self.lease_until = self.lease_until.max(deadline.min(longest));
+    }
+
+    fn carry_out(&mut self, now: Uptime, call: &Call, works: &Works) -> Reply {
+        match call {
+            Call::Start {
+                run, deadline_ms, ..
+            } => self.start(now, *run, *deadline_ms, works),
+            Call::Stop { run } => {
+                if self.runs.contains_key(run) {
+                    self.end(*run, RunEnd::Gone);
+                }
+                let bar = self.barred.entry(run.task).or_default();
+                *bar = (*bar).max(run.attempt);
+                Reply::Stopped
+            }
+            Call::List {
+                seen_end,
+                deadline_ms,
+                ..
+            } => {
+                if let Some(deadline) = deadline_ms {
+                    self.extend(now, *deadline);
+                }
+                self.ended.retain(|row| row.number > *seen_end);
+                let percent = |run: &WorkerRun| {
+                    (100.0 * (1.0 - run.left.as_secs_f64() / run.total.as_secs_f64())) as u8
+                };
+                let running = self.runs.iter().map(|(id, run)| RunningRow {
+                    run: *id,
+                    percent: percent(run),
+                });
+                Reply::Lists {
+                    born: Some(self.incarnation),
+                    running: running.collect(),
+                    ended: self.ended.clone(),
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, now: Uptime, run: RunId, deadline: u64, works: &Works) -> Reply {
+        if self.clock(now) > deadline {
+            return Reply::Refused(StartRefusal::Late);
+        }
+        if self.runs.contains_key(&run) {
+            return Reply::Started;
+        }
+        if self
+            .barred
+            .get(&run.task)
+            .is_some_and(|bar| run.attempt <= *bar)
+        {
+            return Reply::Refused(StartRefusal::Old);
+        }
+        self.extend(now, deadline);
+        let (needs, work) = works[&run.task.job];
+        let taken: u32 = self.runs.values().map(|run| run.needs.cpu_milli).sum();
+        assert!(
+            taken + needs.cpu_milli <= CAPACITY,
+            "a start of {run} brings a worker over its room"
+        );
+        let run_state = WorkerRun {
+            needs,
+            left: work,
+            total: work,
+        };
+        self.runs.insert(run, run_state);
+        Reply::Started
+    }
+}
+
+/// What each job's tasks take and how long they work.
+type Works = IndexMap<JobId, (Resources, Duration)>;
+
+struct Agent {
+    driver: Driver,
+    worker: Worker,
+    frozen_until: Uptime,
+    replies: VecDeque<(Uptime, u64, Reply, u64)>,
+    next_beat: Uptime,
+}
+
+struct Entry {
+    node: NodeRef,
+    core: Scheduler,
+    frozen_until: Uptime,
+    hung_up: Vec<u64>,
+}
+
+/// One link's state, by entry and agent, or by two entries.
+#[derive(Clone, Debug, Default)]
+struct Link {
+    up: bool,
+    cut_until: [Uptime; 2],
+    heard: [Uptime; 2],
+    pinged: [Uptime; 2],
+    redial: Uptime,
+    /// Messages under way, by direction.
+    way: [VecDeque<(Uptime, Payload)>; 2],
+    /// Ends that still have to notice that the link is down.
+    to_tell: [bool; 2],
+}
+
+#[derive(Clone, Debug)]
+enum Payload {
+    Ping,
+    ToAgent(ToAgent),
+    ToEntry(ToEntry),
+    Peer(Peer),
+}
+
+enum CallerState {
+    Waiting {
+        entry: usize,
+        caller: u64,
+        until: Uptime,
+    },
+    Resend(Uptime),
+}
+
+/// The whole model.
+pub struct World {
+    pub rng: Rng,
+    pub now: Uptime,
+    pub faults: Faults,
+    entries: Vec<Entry>,
+    agents: Vec<Agent>,
+    /// Entry by agent.
+    links: Vec<Vec<Link>>,
+    /// Entry by entry, the lower number first.
+    peers: Vec<Vec<Link>>,
+    queue: Arc<Queue>,
+    works: Works,
+    jobs: IndexMap<JobId, Job>,
+    callers: IndexMap<JobId, CallerState>,
+    next_caller: u64,
+    next_job: u64,
+    next_incarnation: u64,
+    pub completed: usize,
+    pub refused: usize,
+    pub resent: usize,
+    /// What happened of late, told when a check fails.
+    trace: VecDeque<String>,
+}
+
+impl World {
+    pub fn new(seed: u64, entries: usize, agents: usize, faults: Faults) -> Self {
+        let mut rng = Rng::with_seed(seed);
+        let now = Duration::from_secs(100);
+        let queue = Queue {
+            name: "q".into(),
+            host: "h".into(),
+            prefix: "/q/".into(),
+            pool: "p".into(),
+            timeout: Duration::from_secs(5),
+            aim: Duration::from_millis(60),
+            slack: 1.6,
+            priority: 0,
+            max_failures: 3,
+            advised: false,
+        };
+        let entry = |i: usize, rng: &mut Rng| Entry {
+            node: NodeRef {
+                name: format!("e{i}").into(),
+                incarnation: i as u64 + 1,
+            },
+            core: Scheduler::new(now, rng.fork()),
+            frozen_until: now,
+            hung_up: Vec::new(),
+        };
+        let agent = |i: usize, rng: &mut Rng| Agent {
+            driver: Driver::new(now, Duration::from_millis(MAX_LEASE)),
+            worker: Worker::new(rng, i as u64 + 1),
+            frozen_until: now,
+            replies: VecDeque::new(),
+            next_beat: now,
+        };
+        Self {
+            entries: (0..entries).map(|i| entry(i, &mut rng)).collect(),
+            agents: (0..agents).map(|i| agent(i, &mut rng)).collect(),
+            links: vec![vec![Link::default(); agents]; entries],
+            peers: vec![vec![Link::default(); entries]; entries],
+            rng,
+            now,
+            faults,
+            queue: Arc::new(queue),
+            works: IndexMap::new(),
+            jobs: IndexMap::new(),
+            callers: IndexMap::new(),
+            next_caller: 1,
+            next_job: 1,
+            next_incarnation: 100,
+            completed: 0,
+            refused: 0,
+            resent: 0,
+            trace: VecDeque::new(),
+        }
+    }
+
+    fn note(&mut self, what: String) {
+        self.trace.push_back(format!("{:?} {what}", self.now));
+        if self.trace.len() > TRACE {
+            self.trace.pop_front();
+        }
+    }
+
+    fn strikes(&mut self, per_thousand: u32) -> bool {
+        self.rng.u32(0..1000) < per_thousand
+    }
+
+    /// One step of 5 ms, then the checks.
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.strike();
+        self.callers();
+        for a in 0..self.agents.len() {
+            self.step_worker(a);
+        }
+        self.links();
+        for a in 0..self.agents.len() {
+            if self.now >= self.agents[a].frozen_until {
+                self.step_agent(a);
+            }
+        }
+        for e in 0..self.entries.len() {
+            if self.now >= self.entries[e].frozen_until {
+                let mut out = Vec::new();
+                self.entries[e].core.observe(self.now, &mut out);
+                for caller in std::mem::take(&mut self.entries[e].hung_up) {
+                    self.entries[e].core.hung_up(self.now, caller, &mut out);
+                }
+                self.entries[e].core.tick(self.now, &mut out);
+                self.act_entry(e, out);
+            }
+        }
+        self.check();
+    }
+
+    /// No task runs twice at the same time.
+    fn check(&self) {
+        let mut running: IndexMap<TaskId, usize> = IndexMap::new();
+        for (a, agent) in self.agents.iter().enumerate() {
+            for run in agent.worker.runs.keys() {
+                let other = running.insert(run.task, a);
+                assert!(
+                    other.is_none(),
+                    "{run} runs on worker {a} and on worker {other:?} at {:?}, after\n{:#?}",
+                    self.now,
+                    self.trace
+                );
+            }
+        }
+    }
+
+    fn strike(&mut self) {
+        let faults = self.faults;
+        let pause = Duration::from_millis(self.rng.u64(100..4000));
+        let e = self.rng.usize(0..self.entries.len());
+        let a = self.rng.usize(0..self.agents.len());
+        if self.strikes(faults.kill_entry) {
+            self.kill_entry(e);
+        }
+        if self.strikes(faults.kill_agent) {
+            self.kill_agent(a);
+        }
+        if self.strikes(faults.freeze) {
+            self.note(format!("entry {e} freezes for {pause:?}"));
+            self.entries[e].frozen_until = self.now + pause;
+        }
+        if self.strikes(faults.freeze) {
+            self.note(format!("agent {a} freezes for {pause:?}"));
+            self.agents[a].frozen_until = self.now + pause;
+        }
+        if self.strikes(faults.cut) {
+            let directions = self.rng.usize(1..4);
+            self.note(format!(
+                "link {e} {a} is cut, directions {directions}, for {pause:?}"
+            ));
+            for side in (0..2).filter(|side| directions & (1 << side) != 0) {
+                self.links[e][a].cut_until[side] = self.now + pause;
+            }
+        }
+        if self.strikes(faults.cut) {
+            let other = self.rng.usize(0..self.entries.len());
+            let (low, high) = (e.min(other), e.max(other));
+            self.peers[low][high].cut_until = [self.now + pause; 2];
+        }
+        if self.strikes(faults.worker_crash) {
+            self.next_incarnation += 1;
+            self.agents[a].worker = Worker::new(&mut self.rng, self.next_incarnation);
+            self.agents[a].replies.clear();
+            self.agents[a].next_beat = self.now + Duration::from_millis(700);
+        }
+    }
+
+    fn kill_entry(&mut self, e: usize) {
+        self.note(format!("entry {e} is killed"));
+        self.next_incarnation += 1;
+        self.entries[e].node.incarnation = self.next_incarnation;
+        self.entries[e].core = Scheduler::new(self.now, self.rng.fork());
+        self.entries[e].hung_up.clear();
+        self.entries[e].frozen_until = self.now + Duration::from_millis(300);
+        for a in 0..self.agents.len() {
+            self.reset(e, a, 1);
+        }
+        for other in 0..self.entries.len() {
+            let (low, high) = (e.min(other), e.max(other));
+            let side = usize::from(other == high);
+            Self::reset_link(&mut self.peers[low][high], self.now, side);
+        }
+        let now = self.now;
+        for state in self.callers.values_mut() {
+            if matches!(state, CallerState::Waiting { entry, .. } if *entry == e) {
+                *state = CallerState::Resend(now + RESEND_AFTER);
+                self.resent += 1;
+            }
+        }
+    }
+
+    fn kill_agent(&mut self, a: usize) {
+        self.note(format!("agent {a} is killed"));
+        self.agents[a].driver = Driver::new(self.now, Duration::from_millis(MAX_LEASE));
+        self.agents[a].replies.clear();
+        self.agents[a].frozen_until = self.now + Duration::from_millis(200);
+        for e in 0..self.entries.len() {
+            self.reset(e, a, 0);
+        }
+    }
+
+    /// The link is reset; the surviving side (0 the entry, 1 the agent) learns of it.
+    fn reset(&mut self, e: usize, a: usize, survivor: usize) {
+        Self::reset_link(&mut self.links[e][a], self.now, survivor);
+    }
+
+    fn reset_link(link: &mut Link, now: Uptime, survivor: usize) {
+        if link.up {
+            link.up = false;
+            link.to_tell = [false; 2];
+            link.to_tell[survivor] = true;
+            link.way = [VecDeque::new(), VecDeque::new()];
+        }
+        link.redial = now + Duration::from_millis(100);
+    }
+
+    fn step_worker(&mut self, a: usize) {
+        let now = self.now;
+        let agent = &mut self.agents[a];
+        let due: Vec<Call> = agent
+            .worker
+            .late
+            .iter()
+            .filter(|(at, _)| now >= *at)
+            .map(|(_, call)| call.clone())
+            .collect();
+        agent.worker.late.retain(|(at, _)| now < *at);
+        for call in due {
+            agent.worker.carry_out(now, &call, &self.works);
+        }
+        agent.worker.step(now);
+    }
+
+    fn step_agent(&mut self, a: usize) {
+        let now = self.now;
+        let mut out = Vec::new();
+        self.agents[a].driver.tick(now, &mut out);
+        self.act_agent(a, out);
+        if now >= self.agents[a].next_beat {
+            self.beat(a);
+        }
+        while self.agents[a]
+            .replies
+            .front()
+            .is_some_and(|(at, ..)| now >= *at)
+        {
+            let Some((_, id, reply, clock)) = self.agents[a].replies.pop_front() else {
+                break;
+            };
+            let mut out = Vec::new();
+            self.agents[a]
+                .driver
+                .on_reply(now, id, reply, Some(clock), &mut out);
+            self.act_agent(a, out);
+        }
+    }
+
+    fn beat(&mut self, a: usize) {
+        let now = self.now;
+        let agent = &mut self.agents[a];
+        agent.next_beat = now + Duration::from_millis(500);
+        agent.worker.beat += 1;
+        let beat = Beat {
+            id: agent.worker.name(a),
+            born: agent.worker.incarnation,
+            number: agent.worker.beat,
+            pool: "p".into(),
+            state: BeatState::Ready,
+            capacity: Resources {
+                cpu_milli: CAPACITY,
+                memory_mb: 1000,
+                accelerators: 0,
+            },
+            labels: vec!["r1".into()],
+            clock_ms: Some(agent.worker.clock(now)),
+        };
+        let mut out = Vec::new();
+        agent.driver.on_beat(now, beat, &mut out);
+        self.act_agent(a, out);
+    }
+
+    fn act_agent(&mut self, a: usize, out: Vec<driver::Action>) {
+        for action in out {
+            match action {
+                driver::Action::Send(entry, msg) => {
+                    let e = self.number(&entry);
+                    self.post(e, a, 1, Payload::ToEntry(msg));
+                }
+                driver::Action::Call(id, call) => self.call(a, id, call),
+                driver::Action::DropLink(entry) => {
+                    let e = self.number(&entry);
+                    self.reset(e, a, 0);
+                }
+                driver::Action::DropCall(id) => {
+                    self.agents[a].replies.retain(|(_, other, ..)| *other != id);
+                }
+                driver::Action::Note(note) => self.note(format!("agent {a}: {note:?}")),
+            }
+        }
+    }
+
+    /// An order is carried out at once, or gets no answer and is carried out seconds later.
+    fn call(&mut self, a: usize, id: u64, call: Call) {
+        let now = self.now;
+        if let Call::Start { run, .. } | Call::Stop { run } = &call {
+            let what = if matches!(call, Call::Start { .. }) {
+                "start"
+            } else {
+                "stop"
+            };
+            self.note(format!("agent {a} orders {what} of {run}"));
+        }
+        let answer = now + Duration::from_millis(self.rng.u64(1..6));
+        // Orders name the incarnation that they are meant for.
+        let meant = self.agents[a].driver.worker_id().cloned();
+        let other = meant.is_some_and(|id| *id != *self.agents[a].worker.name(a));
+        if !other && self.strikes(self.faults.lost_order) {
+            let late = now + Duration::from_millis(self.rng.u64(0..6000));
+            self.agents[a].worker.late.push((late, call));
+            return;
+        }
+        let agent = &mut self.agents[a];
+        let reply = if other {
+            Reply::OtherWorker
+        } else {
+            agent.worker.carry_out(now, &call, &self.works)
+        };
+        let clock = agent.worker.clock(now);
+        let at = agent
+            .replies
+            .partition_point(|(other, ..)| *other <= answer);
+        agent.replies.insert(at, (answer, id, reply, clock));
+    }
+
+    fn number(&self, name: &Name) -> usize {
+        name[1..].parse().expect("nodes are named by number")
+    }
+
+    fn post(&mut self, e: usize, a: usize, side: usize, payload: Payload) {
+        let delay = Duration::from_millis(self.rng.u64(1..4));
+        let link = &mut self.links[e][a];
+        if link.up {
+            let at = link.way[side].back().map_or(self.now, |(at, _)| *at);
+            link.way[side].push_back(((self.now + delay).max(at), payload));
+        }
+    }
+
+    fn links(&mut self) {
+        for e in 0..self.entries.len() {
+            for a in 0..self.agents.len() {
+                self.step_link(e, a);
+            }
+            for other in e + 1..self.entries.len() {
+                self.step_peer(e, other);
+            }
+        }
+    }
+
+    fn awake(&self, e: usize, a: usize) -> [bool; 2] {
+        [
+            self.now >= self.entries[e].frozen_until,
+            self.now >= self.agents[a].frozen_until,
+        ]
+    }
+
+    fn step_link(&mut self, e: usize, a: usize) {
+        let now = self.now;
+        let awake = self.awake(e, a);
+        let mut link = std::mem::take(&mut self.links[e][a]);
+        let name: Name = self.entries[e].node.name.clone();
+        let agent_name: Name = format!("a{a}").into();
+        Self::end_silent(&mut link, now, awake);
+        if link.to_tell[0] && awake[0] {
+            link.to_tell[0] = false;
+            self.entries[e].core.agent_down(now, &agent_name);
+        }
+        if link.to_tell[1] && awake[1] {
+            link.to_tell[1] = false;
+            self.agents[a].driver.entry_down(&name);
+        }
+        let cut = link.cut_until.iter().any(|until| now < *until);
+        let told = !link.to_tell[0] && !link.to_tell[1];
+        if !link.up && told && !cut && awake == [true, true] && now >= link.redial {
+            link.up = true;
+            link.heard = [now; 2];
+            link.way = [VecDeque::new(), VecDeque::new()];
+            self.links[e][a] = link;
+            let mut out = Vec::new();
+            self.entries[e].core.observe(now, &mut out);
+            self.act_entry(e, out);
+            let mut out = Vec::new();
+            let node = self.entries[e].node.clone();
+            self.agents[a].driver.tick(now, &mut out);
+            self.agents[a].driver.entry_up(now, node, &mut out);
+            self.act_agent(a, out);
+            let mut out = Vec::new();
+            self.entries[e].core.agent_up(now, &agent_name, &mut out);
+            self.act_entry(e, out);
+            return;
+        }
+        let arrived = Self::deliver(&mut link, now, awake);
+        self.links[e][a] = link;
+        for (side, payload) in arrived {
+            self.receive(e, a, side, payload);
+        }
+    }
+
+    fn end_silent(link: &mut Link, now: Uptime, awake: [bool; 2]) {
+        for side in 0..2 {
+            if link.up && awake[side] && now >= link.heard[side] + SILENCE {
+                link.up = false;
+                link.to_tell = [true; 2];
+                link.way = [VecDeque::new(), VecDeque::new()];
+                link.redial = now + Duration::from_millis(100);
+            }
+        }
+    }
+
+    /// What arrives now at awake sides; `side` is the receiver.
+    fn deliver(link: &mut Link, now: Uptime, awake: [bool; 2]) -> Vec<(usize, Payload)> {
+        let mut arrived = Vec::new();
+        for sender in 0..2 {
+            let receiver = 1 - sender;
+            if link.up && awake[sender] && now >= link.pinged[sender] + PING_EVERY {
+                link.pinged[sender] = now;
+                link.way[sender].push_back((now, Payload::Ping));
+            }
+            // A cut holds bytes back; they arrive when it heals, if the link still stands.
+            if !awake[receiver] || now < link.cut_until[sender] {
+                continue;
+            }
+            while link.way[sender].front().is_some_and(|(at, _)| now >= *at) {
+                if let Some((_, payload)) = link.way[sender].pop_front() {
+                    link.heard[receiver] = now;
+                    arrived.push((receiver, payload));
+                }
+            }
+        }
+        arrived
+    }
+
+    fn receive(&mut self, e: usize, a: usize, side: usize, payload: Payload) {
+        let now = self.now;
+        match payload {
+            Payload::ToAgent(msg) => {
+                let mut out = Vec::new();
+                let name = self.entries[e].node.name.clone();
+                self.agents[a].driver.tick(now, &mut out);
+                self.agents[a].driver.on_entry(now, &name, msg, &mut out);
+                self.act_agent(a, out);
+            }
+            Payload::Ping if side == 1 => {
+                let name = self.entries[e].node.name.clone();
+                let mut out = Vec::new();
+                self.agents[a].driver.tick(now, &mut out);
+                self.agents[a].driver.heard(now, &name);
+                self.act_agent(a, out);
+            }
+            Payload::ToEntry(msg) => {
+                let mut out = Vec::new();
+                self.entries[e].core.observe(now, &mut out);
+                let name: Name = format!("a{a}").into();
+                self.entries[e].core.on_agent(now, &name, msg, &mut out);
+                self.act_entry(e, out);
+            }
+            Payload::Ping | Payload::Peer(_) => {}
+        }
+    }
+
+    fn step_peer(&mut self, low: usize, high: usize) {
+        let now = self.now;
+        let awake = [
+            now >= self.entries[low].frozen_until,
+            now >= self.entries[high].frozen_until,
+        ];
+        let ends = [low, high];
+        let mut link = std::mem::take(&mut self.peers[low][high]);
+        Self::end_silent(&mut link, now, awake);
+        for side in 0..2 {
+            if link.to_tell[side] && awake[side] {
+                link.to_tell[side] = false;
+                let other = self.entries[ends[1 - side]].node.name.clone();
+                self.entries[ends[side]].core.peer_down(now, &other);
+            }
+        }
+        let cut = link.cut_until.iter().any(|until| now < *until);
+        let told = !link.to_tell[0] && !link.to_tell[1];
+        if !link.up && told && !cut && awake == [true, true] && now >= link.redial {
+            link.up = true;
+            link.heard = [now; 2];
+            link.way = [VecDeque::new(), VecDeque::new()];
+            for side in 0..2 {
+                let other = self.entries[ends[1 - side]].node.name.clone();
+                self.entries[ends[side]].core.peer_up(&other);
+            }
+        }
+        let arrived = Self::deliver(&mut link, now, awake);
+        self.peers[low][high] = link;
+        for (side, payload) in arrived {
+            if let Payload::Peer(msg) = payload {
+                let other = self.entries[ends[1 - side]].node.name.clone();
+                let mut out = Vec::new();
+                self.entries[ends[side]].core.observe(now, &mut out);
+                self.entries[ends[side]]
+                    .core
+                    .on_peer(now, &other, msg, &mut out);
+                self.act_entry(ends[side], out);
+            }
+        }
+    }
+
+    fn post_peer(&mut self, from: usize, to: usize, msg: Peer) {
+        let (low, high) = (from.min(to), from.max(to));
+        let side = usize::from(from == high);
+        let link = &mut self.peers[low][high];
+        if link.up {
+            link.way[side].push_back((self.now, Payload::Peer(msg)));
+        }
+    }
+
+    fn act_entry(&mut self, e: usize, out: Vec<scheduler::Action>) {
+        for action in out {
+            match action {
+                scheduler::Action::Send(agent, msg) => {
+                    let a = self.number(&agent);
+                    self.post(e, a, 0, Payload::ToAgent(msg));
+                }
+                scheduler::Action::Peer(entry, msg) => {
+                    let to = self.number(&entry);
+                    self.post_peer(e, to, msg);
+                }
+                scheduler::Action::Peers(msg) => {
+                    for to in (0..self.entries.len()).filter(|to| *to != e) {
+                        self.post_peer(e, to, msg.clone());
+                    }
+                }
+                scheduler::Action::Answer(caller, answer) => self.answered(caller, &answer),
+                scheduler::Action::DropLinks => {
+                    for a in 0..self.agents.len() {
+                        let link = &mut self.links[e][a];
+                        if link.up {
+                            link.up = false;
+                            link.to_tell = [true; 2];
+                            link.way = [VecDeque::new(), VecDeque::new()];
+                            link.redial = self.now + Duration::from_millis(100);
+                        }
+                    }
+                }
+                scheduler::Action::Note(_) => {}
+            }
+        }
+    }
+
+    fn answered(&mut self, caller: u64, answer: &Answer) {
+        self.note(format!("caller {caller} is answered {answer:?}"));
+        let waits = |state: &CallerState| matches!(state, CallerState::Waiting { caller: other, .. } if *other == caller);
+        let found = self.callers.iter().find(|(_, state)| waits(state));
+        let Some(job) = found.map(|(job, _)| *job) else {
+            return;
+        };
+        match answer {
+            Answer::Completed | Answer::Failed(_) => {
+                self.completed += usize::from(*answer == Answer::Completed);
+                self.callers.swap_remove(&job);
+            }
+            Answer::NotRun { .. } => {
+                self.refused += 1;
+                self.callers.swap_remove(&job);
+                let runs = self
+                    .agents
+                    .iter()
+                    .flat_map(|agent| agent.worker.runs.keys());
+                let runs: Vec<_> = runs.filter(|run| run.task.job == job).collect();
+                assert!(
+                    runs.is_empty() || self.resent > 0,
+                    "{job} was refused and runs: {runs:?}"
+                );
+            }
+            Answer::Broken(_) => {
+                self.resent += 1;
+                let resend = CallerState::Resend(self.now + RESEND_AFTER);
+                self.callers.insert(job, resend);
+            }
+        }
+    }
+
+    fn callers(&mut self) {
+        if self.callers.len() < 12 && self.strikes(300) {
+            self.new_job();
+        }
+        let now = self.now;
+        let due: Vec<JobId> = self
+            .callers
+            .iter()
+            .filter(|(_, state)| matches!(state, CallerState::Resend(at) if now >= *at))
+            .map(|(job, _)| *job)
+            .collect();
+        for job in due {
+            self.submit(job);
+        }
+        let patient = |state: &CallerState| match state {
+            CallerState::Waiting { until, .. } => now < *until,
+            CallerState::Resend(_) => true,
+        };
+        let gone: Vec<JobId> = self
+            .callers
+            .iter()
+            .filter(|(_, state)| !patient(state))
+            .map(|(job, _)| *job)
+            .collect();
+        for job in gone {
+            self.hang_up(job, false);
+        }
+        if self.strikes(self.faults.hang_up) && !self.callers.is_empty() {
+            let at = self.rng.usize(0..self.callers.len());
+            let job = self.callers.get_index(at).map(|(job, _)| *job);
+            if let Some(job) = job {
+                self.hang_up(job, true);
+            }
+        }
+    }
+
+    /// The caller's connection breaks; it may come again.
+    fn hang_up(&mut self, job: JobId, again: bool) {
+        let state = self.callers.swap_remove(&job);
+        if let Some(CallerState::Waiting { entry, caller, .. }) = state {
+            // An entry that is frozen finds the end of the connection when it wakes.
+            self.entries[entry].hung_up.push(caller);
+            if again {
+                self.resent += 1;
+                let resend = CallerState::Resend(self.now + RESEND_AFTER);
+                self.callers.insert(job, resend);
+            }
+        }
+    }
+
+    fn new_job(&mut self) {
+        let id = JobId(self.next_job);
+        self.next_job += 1;
+        let needs = Resources {
+            cpu_milli: self.rng.u32(800..2600),
+            memory_mb: 10,
+            accelerators: 0,
+        };
+        let work = Duration::from_millis(self.rng.u64(30..900));
+        self.works.insert(id, (needs, work));
+        let step = Step {
+            count: self.rng.u16(1..6),
+            needs,
+            estimate: work.mul_f64(0.6 + 0.8 * self.rng.f64()),
+            ..Step::default()
+        };
+        let job = Job {
+            id,
+            payload: "x".into(),
+            steps: vec![step],
+        };
+        self.jobs.insert(id, job);
+        self.submit(id);
+    }
+
+    fn submit(&mut self, id: JobId) {
+        let e = self.rng.usize(0..self.entries.len());
+        self.note(format!("job {id} comes to entry {e}"));
+        let caller = self.next_caller;
+        self.next_caller += 1;
+        let until = self.now + Duration::from_secs(5);
+        if self.now < self.entries[e].frozen_until {
+            // Nobody takes the connection; the caller tries again later.
+            self.callers
+                .insert(id, CallerState::Resend(self.now + RESEND_AFTER));
+            return;
+        }
+        let waiting = CallerState::Waiting {
+            entry: e,
+            caller,
+            until,
+        };
+        self.callers.insert(id, waiting);
+        let mut out = Vec::new();
+        let spec = self.jobs[&id].clone();
+        let deadline = Duration::from_secs(5);
+        let queue = self.queue.clone();
+        self.entries[e].core.observe(self.now, &mut out);
+        self.entries[e]
+            .core
+            .submit(self.now, spec, queue, caller, deadline, &mut out);
+        self.act_entry(e, out);
+    }
+}
