A sample of workers a choice; no wait at an agent while others have room

Change: of many workers 14 are compared; a start says how long it may wait; room is reported every 12 ms.

--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -49,7 +49,7 @@
 /// Runs that may wait here for room.
 const MAX_QUEUED: usize = 24;
 /// Time between two reports of room to an entry that has nothing waiting.
-const REPORT_EVERY: Duration = Duration::from_millis(30);
+const REPORT_EVERY: Duration = Duration::from_millis(12);
 /// Learning of a worker's pace and failures.
 const LEARN: f32 = 0.2;
 
@@ -261,6 +261,8 @@
     payload: Arc<str>,
     /// The aim's time; orders waiting runs.
     due: Uptime,
+    /// How long it may wait here for room.
+    patience: Duration,
     /// When it came here.
     arrived: Uptime,
     /// When the worker was told to start it.
@@ -571,6 +573,10 @@
         };
         out.push(Action::Note(Note::Refused { run, reason }));
         if let Some(owner) = gone.owner {
+            // The entry believed that there was room: it is told better at once.
+            if let Some(entry) = self.entries.get_mut(&owner.name) {
+                entry.reported = None;
+            }
             self.send(&owner, ToEntry::Refused { run, reason }, out);
         }
     }
--- a/crates/core/src/pool/driver/starts.rs
+++ b/crates/core/src/pool/driver/starts.rs
@@ -11,8 +11,6 @@
 
 /// A run that the worker had no room for waits this long before it is tried again.
 const ROOM_RETRY: Duration = Duration::from_millis(15);
-/// A run that found no room for this long goes back to its entry.
-const MAX_ROOM_WAIT: Duration = Duration::from_millis(60);
 
 impl Driver {
     /// An entry asks for a run.
@@ -113,7 +111,7 @@
         let old: Vec<RunId> = self
             .runs
             .iter()
-            .filter(|(_, run)| run.state == State::Queued && now >= run.arrived + MAX_ROOM_WAIT)
+            .filter(|(_, run)| run.state == State::Queued && now >= run.arrived + run.patience)
             .map(|(id, _)| *id)
             .collect();
         for run in old {
@@ -250,6 +248,7 @@
             estimate,
             payload: start.payload,
             due: now + Duration::from_millis(start.due_ms.into()),
+            patience: Duration::from_millis(start.patience_ms.into()),
             arrived: now,
             ordered: now,
             started: now,
@@ -272,6 +271,7 @@
             estimate: Duration::ZERO,
             payload: "".into(),
             due: now,
+            patience: Duration::ZERO,
             arrived: now,
             ordered: now,
             started: now,
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -27,6 +27,9 @@
 const FULL_WEIGHT: f64 = 1.2;
 /// A task is sent only where it is expected to end within this share of the time to its aim.
 const IN_TIME_SHARE: f64 = 0.97;
+/// Of many workers only so many are compared at a time, so that entries do not all send to the few
+/// best ones at once, and a choice costs the same at any size.
+const SAMPLE: usize = 14;
 /// Random share of the score, so that entries do not all choose the same worker.
 const JITTER: f64 = 0.06;
 
@@ -272,12 +275,45 @@
         allowed: F,
         rng: &mut fastrand::Rng,
     ) -> Option<Choice>
+    where
+        F: Fn(&Name) -> bool,
+    {
+        let chosen = if self.workers.len() > SAMPLE {
+            let first = rng.usize(0..self.workers.len());
+            self.choose_among(now, pool, step, in_time, &allowed, rng, first, SAMPLE)
+        } else {
+            None
+        };
+        chosen.or_else(|| {
+            let all = self.workers.len();
+            self.choose_among(now, pool, step, in_time, &allowed, rng, 0, all)
+        })
+    }
+
+    /// The best of `count` workers from the one with number `first` on. Their order is that in
+    /// which they were linked, so it differs among entries.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "the question and the range to search"
+    )]
+    fn choose_among<F>(
+        &self,
+        now: Uptime,
+        pool: &Name,
+        step: &Step,
+        in_time: Option<Duration>,
+        allowed: &F,
+        rng: &mut fastrand::Rng,
+        first: usize,
+        count: usize,
+    ) -> Option<Choice>
     where
         F: Fn(&Name) -> bool,
     {
         let median_pace = self.median_pace(pool);
         let mut best: Option<(f64, Choice)> = None;
-        for (name, worker) in self.workers.iter().filter(|(_, w)| w.takes()) {
+        let range = self.workers.iter().cycle().skip(first).take(count);
+        for (name, worker) in range.filter(|(_, w)| w.takes()) {
             let free = worker.free();
             let labelled = step.label.as_ref().is_none_or(|l| worker.has_label(l));
             if !worker.serves(pool) || !step.needs.fits(free) || !labelled || !allowed(name) {
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -6,6 +6,9 @@
 
 /// Waiting jobs without a place that are tried before the rest is left for the next report.
 const MAX_MISSES: usize = 12;
+/// While tasks wait here, one that finds no room at its agent waits there for this long: longer, and
+/// the room that other workers give free meanwhile would be missed.
+const MAX_PATIENCE_MS: u32 = 60;
 /// Late tasks wait at agents behind those that can still meet their aim.
 const LATE_DUE: Duration = Duration::from_secs(10);
 
@@ -84,6 +87,11 @@
                 needs: step.needs,
                 estimate_ms: step.estimate.as_millis() as u32,
                 due_ms: in_time.unwrap_or(LATE_DUE).as_millis() as u32,
+                patience_ms: if self.told_waiting > 0 {
+                    MAX_PATIENCE_MS
+                } else {
+                    0
+                },
                 payload: job.spec.payload.clone(),
             };
             out.push(Action::Send(choice.worker.clone(), ToAgent::Start(start)));
