--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -192,6 +192,8 @@
     floor: u32,
     /// Runs that ended as failed.
     failures: u32,
+    /// Runs that were stopped to start elsewhere.
+    moves: u32,
     waiting_since: Uptime,
 }
 
@@ -415,6 +417,7 @@
                 attempt: 0,
                 floor: past,
                 failures: 0,
+                moves: 0,
                 waiting_since: now,
             }));
         }
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -11,6 +11,8 @@
 /// A run is moved only if a new one is expected to end sooner by this factor and time.
 const MOVE_FACTOR: f64 = 1.3;
 const MOVE_GAIN: Duration = Duration::from_millis(40);
+/// A task that is behind wherever it runs is left alone after so many moves.
+const MAX_MOVES: u32 = 2;
 /// After a refusal for an old attempt the next ones are this much higher.
 const ATTEMPT_JUMP: u32 = 8;
 
@@ -266,8 +268,10 @@
             }
             if let TaskState::Sent { stopping, .. } = &mut task.state
                 && !*stopping
+                && task.moves < MAX_MOVES
             {
                 *stopping = true;
+                task.moves += 1;
                 out.push(Action::Send(name.clone(), ToAgent::Stop { run }));
                 out.push(Action::Note(Note::Moved {
                     run,
--- a/crates/core/tests/pool_catalog.rs
+++ b/crates/core/tests/pool_catalog.rs
@@ -53,7 +53,10 @@
     let mut state = ClusterState::default();
     for version in [7, 3, 12, 12, 9] {
         let outcome = publish(&mut state, catalog(version, &format!("v{version}")));
-        assert!(matches!(outcome, ChangeOutcome::Applied { .. }), "{version}: {outcome:?}");
+        assert!(
+            matches!(outcome, ChangeOutcome::Applied { .. }),
+            "{version}: {outcome:?}"
+        );
     }
     assert_eq!(version(&state), 12);
 }
@@ -65,7 +68,10 @@
     publish(&mut state, catalog(8, "eight"));
     let before = state.clone();
     let outcome = publish(&mut state, catalog(5, "five"));
-    assert!(matches!(outcome, ChangeOutcome::Applied { .. }), "{outcome:?}");
+    assert!(
+        matches!(outcome, ChangeOutcome::Applied { .. }),
+        "{outcome:?}"
+    );
     assert_eq!(state, before);
 }
 
@@ -74,10 +80,19 @@
     let mut state = ClusterState::default();
     publish(&mut state, catalog(5, "first"));
     let outcome = publish(&mut state, catalog(5, "second"));
-    assert!(matches!(outcome, ChangeOutcome::Conflict { .. }), "{outcome:?}");
+    assert!(
+        matches!(outcome, ChangeOutcome::Conflict { .. }),
+        "{outcome:?}"
+    );
     let outcome = publish(&mut state, catalog(5, "first"));
-    assert!(matches!(outcome, ChangeOutcome::Applied { .. }), "{outcome:?}");
-    let held = state.catalog.as_ref().map(|catalog| catalog.document.clone());
+    assert!(
+        matches!(outcome, ChangeOutcome::Applied { .. }),
+        "{outcome:?}"
+    );
+    let held = state
+        .catalog
+        .as_ref()
+        .map(|catalog| catalog.document.clone());
     assert_eq!(held.as_deref(), Some("first"));
 }
 
@@ -93,15 +108,33 @@
     same_name.queues[1].name = "a".into();
     let mut bad_prefix = catalog(2, "x");
     bad_prefix.queues[0].prefix = "a/".into();
-    assert!(matches!(unknown_pool.check(), Err(CatalogError::UnknownPool { .. })));
-    assert!(matches!(same_place.check(), Err(CatalogError::SamePlace { .. })));
-    assert!(matches!(no_timeout.check(), Err(CatalogError::NoTimeout(_))));
-    assert!(matches!(same_name.check(), Err(CatalogError::SameName { .. })));
-    assert!(matches!(bad_prefix.check(), Err(CatalogError::BadPrefix { .. })));
+    assert!(matches!(
+        unknown_pool.check(),
+        Err(CatalogError::UnknownPool { .. })
+    ));
+    assert!(matches!(
+        same_place.check(),
+        Err(CatalogError::SamePlace { .. })
+    ));
+    assert!(matches!(
+        no_timeout.check(),
+        Err(CatalogError::NoTimeout(_))
+    ));
+    assert!(matches!(
+        same_name.check(),
+        Err(CatalogError::SameName { .. })
+    ));
+    assert!(matches!(
+        bad_prefix.check(),
+        Err(CatalogError::BadPrefix { .. })
+    ));
     let mut state = ClusterState::default();
     for invalid in [unknown_pool, same_place, no_timeout, same_name, bad_prefix] {
         let outcome = publish(&mut state, invalid);
-        assert!(matches!(outcome, ChangeOutcome::Invalid { .. }), "{outcome:?}");
+        assert!(
+            matches!(outcome, ChangeOutcome::Invalid { .. }),
+            "{outcome:?}"
+        );
     }
     assert_eq!(version(&state), 0);
 }
--- a/crates/core/tests/pool_driver.rs
+++ b/crates/core/tests/pool_driver.rs
@@ -85,7 +85,9 @@
             now,
             out: Vec::new(),
         };
-        bench.driver.on_beat(now, beat(1, 1, BeatState::Ready), &mut bench.out);
+        bench
+            .driver
+            .on_beat(now, beat(1, 1, BeatState::Ready), &mut bench.out);
         bench.answer_list(&[], &[]);
         bench.driver.entry_up(now, entry(1), &mut bench.out);
         bench.take();
@@ -102,7 +104,8 @@
     }
 
     fn msg(&mut self, msg: ToAgent) {
-        self.driver.on_entry(self.now, &"e0".into(), msg, &mut self.out);
+        self.driver
+            .on_entry(self.now, &"e0".into(), msg, &mut self.out);
     }
 
     fn start(&mut self, run: RunId, cpu: u32, patience_ms: u32) {
@@ -128,11 +131,14 @@
     }
 
     fn answer(&mut self, id: u64, reply: Reply) {
-        self.driver.on_reply(self.now, id, reply, Some(50_000), &mut self.out);
+        self.driver
+            .on_reply(self.now, id, reply, Some(50_000), &mut self.out);
     }
 
     fn answer_list(&mut self, running: &[RunId], ended: &[(u64, RunId, RunEnd)]) {
-        let (id, _) = self.call(|call| matches!(call, Call::List { .. })).expect("a list is asked");
+        let (id, _) = self
+            .call(|call| matches!(call, Call::List { .. }))
+            .expect("a list is asked");
         self.answer(id, lists(running, ended));
     }
 
@@ -168,7 +174,9 @@
 
     fn ended(&self, run: RunId) -> Option<RunEnd> {
         self.sent().into_iter().find_map(|msg| match msg {
-            ToEntry::Ended { run: other, end, .. } if *other == run => Some(*end),
+            ToEntry::Ended {
+                run: other, end, ..
+            } if *other == run => Some(*end),
             _ => None,
         })
     }
@@ -181,7 +189,10 @@
     bench.take();
     bench.start(run(2, 1), 1500, 0);
     assert_eq!(bench.refusal(run(2, 1)), Some(NotStarted::NoRoom));
-    assert!(bench.start_call().is_none(), "the worker is not asked for what does not fit");
+    assert!(
+        bench.start_call().is_none(),
+        "the worker is not asked for what does not fit"
+    );
     bench.take();
     bench.start(run(3, 1), 1500, 60);
     bench.pass(59 * MS);
@@ -196,13 +207,25 @@
     bench.start(run(1, 1), 1000, 0);
     bench.take();
     bench.pass(200 * MS);
-    let (stop, _) = bench.stop_call().expect("the run is stopped, which bars it");
-    assert_eq!(bench.refusal(run(1, 1)), None, "it may still be carried out");
+    let (stop, _) = bench
+        .stop_call()
+        .expect("the run is stopped, which bars it");
+    assert_eq!(
+        bench.refusal(run(1, 1)),
+        None,
+        "it may still be carried out"
+    );
     bench.answer(stop, Reply::Stopped);
-    assert_eq!(bench.refusal(run(1, 1)), None, "no list has told the truth yet");
+    assert_eq!(
+        bench.refusal(run(1, 1)),
+        None,
+        "no list has told the truth yet"
+    );
     bench.pass(5 * MS);
     while bench.refusal(run(1, 1)).is_none() {
-        let (id, _) = bench.call(|c| matches!(c, Call::List { .. })).expect("a list is asked");
+        let (id, _) = bench
+            .call(|c| matches!(c, Call::List { .. }))
+            .expect("a list is asked");
         bench.answer(id, lists(&[], &[]));
         bench.pass(5 * MS);
     }
@@ -262,12 +285,18 @@
         now,
         out: Vec::new(),
     };
-    bench.driver.on_beat(now, beat(1, 9, BeatState::Ready), &mut bench.out);
+    bench
+        .driver
+        .on_beat(now, beat(1, 9, BeatState::Ready), &mut bench.out);
     bench.answer_list(&[run(1, 1), run(2, 1)], &[(4, run(3, 1), RunEnd::Done)]);
     bench.driver.entry_up(now, entry(1), &mut bench.out);
     let wanted = vec![(run(1, 1), needs(1000)), (run(3, 1), needs(1000))];
     bench.msg(ToAgent::Resume { runs: wanted });
-    assert_eq!(bench.ended(run(3, 1)), Some(RunEnd::Done), "its end was listed");
+    assert_eq!(
+        bench.ended(run(3, 1)),
+        Some(RunEnd::Done),
+        "its end was listed"
+    );
     bench.take();
     bench.pass(600 * MS);
     let stopped: Vec<RunId> = bench
@@ -304,20 +333,32 @@
     let mut bench = Bench::new();
     bench.running(run(1, 1), 1000);
     bench.take();
-    let verdict = bench.driver.on_beat(bench.now, beat(7, 1, BeatState::Ready), &mut bench.out);
+    let verdict = bench
+        .driver
+        .on_beat(bench.now, beat(7, 1, BeatState::Ready), &mut bench.out);
     assert_eq!(verdict, BeatVerdict::Taken);
     assert_eq!(bench.ended(run(1, 1)), Some(RunEnd::Gone));
-    let verdict = bench.driver.on_beat(bench.now, beat(1, 90, BeatState::Draining), &mut bench.out);
-    assert_eq!(verdict, BeatVerdict::Late, "it is of the incarnation before");
+    let verdict = bench
+        .driver
+        .on_beat(bench.now, beat(1, 90, BeatState::Draining), &mut bench.out);
+    assert_eq!(
+        verdict,
+        BeatVerdict::Late,
+        "it is of the incarnation before"
+    );
     assert_eq!(bench.driver.worker_id().map(|id| &**id), Some("w7"));
-    let verdict = bench.driver.on_beat(bench.now, beat(7, 1, BeatState::Draining), &mut bench.out);
+    let verdict = bench
+        .driver
+        .on_beat(bench.now, beat(7, 1, BeatState::Draining), &mut bench.out);
     assert_eq!(verdict, BeatVerdict::Late, "it was overtaken");
 }
 
 #[test]
 fn a_draining_worker_starts_nothing_new() {
     let mut bench = Bench::new();
-    bench.driver.on_beat(bench.now, beat(1, 2, BeatState::Draining), &mut bench.out);
+    bench
+        .driver
+        .on_beat(bench.now, beat(1, 2, BeatState::Draining), &mut bench.out);
     bench.take();
     bench.start(run(1, 1), 1000, 60);
     assert_eq!(bench.refusal(run(1, 1)), Some(NotStarted::NoWorker));
@@ -374,7 +415,10 @@
     bench.running(run(1, 1), 1000);
     for _ in 0..40 {
         bench.pass(20 * MS);
-        if bench.call(|call| matches!(call, Call::List { .. })).is_some() {
+        if bench
+            .call(|call| matches!(call, Call::List { .. }))
+            .is_some()
+        {
             bench.answer_list(&[run(1, 1)], &[]);
         }
     }
--- a/crates/core/tests/pool_scheduler.rs
+++ b/crates/core/tests/pool_scheduler.rs
@@ -72,12 +72,17 @@
             out: Vec::new(),
         };
         for worker in workers {
-            bench.core.agent_up(now, &Name::from(*worker), &mut bench.out);
-            bench.from(worker, ToEntry::Worker(WorkerInfo {
-                pool: Some("p".into()),
-                capacity: room_of(4000),
-                labels: Vec::new(),
-            }));
+            bench
+                .core
+                .agent_up(now, &Name::from(*worker), &mut bench.out);
+            bench.from(
+                worker,
+                ToEntry::Worker(WorkerInfo {
+                    pool: Some("p".into()),
+                    capacity: room_of(4000),
+                    labels: Vec::new(),
+                }),
+            );
             bench.room(worker, 0, 4000);
         }
         bench.take();
@@ -89,7 +94,8 @@
     }
 
     fn from(&mut self, worker: &str, msg: ToEntry) {
-        self.core.on_agent(self.now, &worker.into(), msg, &mut self.out);
+        self.core
+            .on_agent(self.now, &worker.into(), msg, &mut self.out);
     }
 
     fn room(&mut self, worker: &str, seen: u64, free: u32) {
@@ -104,7 +110,8 @@
 
     fn submit(&mut self, job: Job, caller: u64) {
         let deadline = Duration::from_secs(3);
-        self.core.submit(self.now, job, queue("q"), caller, deadline, &mut self.out);
+        self.core
+            .submit(self.now, job, queue("q"), caller, deadline, &mut self.out);
     }
 
     fn pass(&mut self, time: Duration) {
@@ -141,7 +148,11 @@
 }
 
 fn ended(run: RunId, end: RunEnd) -> ToEntry {
-    ToEntry::Ended { run, end, ran_ms: 100 }
+    ToEntry::Ended {
+        run,
+        end,
+        ran_ms: 100,
+    }
 }
 
 #[test]
@@ -178,7 +189,10 @@
     assert!(again.attempt > first.attempt);
     bench.take();
     bench.from("a0", ended(first, RunEnd::Done));
-    assert!(bench.answers().is_empty(), "a word on an earlier run counts for nothing");
+    assert!(
+        bench.answers().is_empty(),
+        "a word on an earlier run counts for nothing"
+    );
 }
 
 #[test]
@@ -248,13 +262,17 @@
     let peer: Name = "e1".into();
     bench.core.peer_up(&peer);
     let jobs = vec![JobId(1)];
-    bench.core.on_peer(bench.now, &peer, Peer::Began { jobs }, &mut bench.out);
+    bench
+        .core
+        .on_peer(bench.now, &peer, Peer::Began { jobs }, &mut bench.out);
     bench.submit(job(1, 1, cpu(1000)), 7);
     assert!(bench.starts().is_empty());
     let asked = |action: &Action| matches!(action, Action::Peer(_, Peer::Yield { job: JobId(1) }));
     assert!(bench.out.iter().any(asked));
     let yielded = Peer::Yielded { job: JobId(1) };
-    bench.core.on_peer(bench.now, &peer, yielded, &mut bench.out);
+    bench
+        .core
+        .on_peer(bench.now, &peer, yielded, &mut bench.out);
     assert_eq!(bench.starts().len(), 1);
 }
 
@@ -264,7 +282,9 @@
     let peer: Name = "e1".into();
     bench.core.peer_up(&peer);
     let jobs = vec![JobId(1)];
-    bench.core.on_peer(bench.now, &peer, Peer::Began { jobs }, &mut bench.out);
+    bench
+        .core
+        .on_peer(bench.now, &peer, Peer::Began { jobs }, &mut bench.out);
     bench.core.peer_down(bench.now, &peer);
     bench.submit(job(1, 1, cpu(1000)), 7);
     let begin = bench.now;
@@ -301,9 +321,22 @@
     bench.take();
     bench.pass(Duration::from_secs(1));
     let answers = bench.answers();
-    assert!(answers.iter().any(|(c, a)| *c == 7 && matches!(a, Answer::Broken(_))));
-    assert!(answers.iter().any(|(c, a)| *c == 8 && matches!(a, Answer::NotRun { .. })));
-    assert!(bench.out.iter().any(|action| matches!(action, Action::DropLinks)));
+    assert!(
+        answers
+            .iter()
+            .any(|(c, a)| *c == 7 && matches!(a, Answer::Broken(_)))
+    );
+    assert!(
+        answers
+            .iter()
+            .any(|(c, a)| *c == 8 && matches!(a, Answer::NotRun { .. }))
+    );
+    assert!(
+        bench
+            .out
+            .iter()
+            .any(|action| matches!(action, Action::DropLinks))
+    );
 }
 
 #[test]
@@ -332,13 +365,48 @@
     bench.take();
     bench.pass(300 * MS);
     let (run, left_ms, ran_ms) = (start.run, None, 300);
-    bench.from(&worker, ToEntry::Behind { run, ran_ms, left_ms });
+    bench.from(
+        &worker,
+        ToEntry::Behind {
+            run,
+            ran_ms,
+            left_ms,
+        },
+    );
     assert_eq!(bench.stops(), vec![run]);
     assert!(bench.starts().is_empty(), "not before the first has ended");
     bench.from(&worker, ended(run, RunEnd::Gone));
     assert_eq!(bench.starts().len(), 1);
 }
 
+#[test]
+fn a_task_that_stands_still_wherever_it_runs_is_not_moved_for_ever() {
+    let mut bench = Bench::new(&["a0", "a1"]);
+    bench.submit(job(1, 1, cpu(1000)), 7);
+    let mut moves = 0;
+    for _ in 0..6 {
+        let (worker, start) = bench.starts().pop().expect("the task runs");
+        let (run, left_ms, ran_ms) = (start.run, None, 300);
+        bench.from(
+            &worker,
+            ToEntry::Behind {
+                run,
+                ran_ms,
+                left_ms,
+            },
+        );
+        if bench.stops().is_empty() {
+            break;
+        }
+        moves += 1;
+        bench.take();
+        bench.from(&worker, ended(run, RunEnd::Gone));
+        bench.room("a0", 0, 4000);
+        bench.room("a1", 0, 4000);
+    }
+    assert_eq!(moves, 2);
+}
+
 #[test]
 fn a_long_run_on_a_sound_worker_is_left_alone() {
     let mut bench = Bench::new(&["a0", "a1"]);
@@ -346,7 +414,14 @@
     let (worker, start) = bench.starts()[0].clone();
     bench.take();
     let (run, left_ms, ran_ms) = (start.run, Some(700), 300);
-    bench.from(&worker, ToEntry::Behind { run, ran_ms, left_ms });
+    bench.from(
+        &worker,
+        ToEntry::Behind {
+            run,
+            ran_ms,
+            left_ms,
+        },
+    );
     assert!(bench.stops().is_empty());
 }
 
