Membership: suspects are told at once what is said of them

A suspect learned of the suspicion only when a probe of somebody who knew of it happened to come, and had 1.5 s to refute it. Change: whoever suspects a member pings it with the suspicion every 250 ms until it is refuted or over.

--- a/crates/agent/src/pooled.rs
+++ b/crates/agent/src/pooled.rs
@@ -31,7 +31,7 @@
 /// An agent links to at most this many entries.
 const MAX_ENTRIES: usize = rw_core::linking::MAX_ENTRY_LINKS;
 /// After the signal to end, runs may go on for this long; the successor adopts the rest.
-const DRAIN_LIMIT: Duration = Duration::from_millis(5000);
+const DRAIN_LIMIT: Duration = Duration::from_secs(5);
 
 /// What a worker's request is.
 #[derive(Debug)]
--- a/crates/control/src/duty.rs
+++ b/crates/control/src/duty.rs
@@ -113,13 +113,8 @@
     logging::init(&log);
     let (store, records) = open(&data, &node.name)?;
     let peers = Peering::Fixed(control.peers);
-    let running = start(
-        bound,
-        node,
-        (store, records),
-        control.operator_token_hashes,
-        peers,
-    )?;
+    let hashes = control.operator_token_hashes;
+    let running = start(bound, &node, (store, records), hashes, &peers)?;
     running.duty.run(&running.rx)
 }
 
@@ -142,14 +137,14 @@
 /// Starts the adapters of a control node.
 pub(crate) fn start(
     bound: Bound,
-    node: NodeSettings,
+    node: &NodeSettings,
     journal: (Store, Vec<Record>),
     operator_token_hashes: Vec<String>,
-    peering: Peering,
+    peering: &Peering,
 ) -> Result<Running, ControlError> {
     let (store, records) = journal;
     let me = identity(&records).unwrap_or_else(|| new_voter(&node.name));
-    let allowed = match &peering {
+    let allowed = match peering {
         Peering::Fixed(peers) => peers.keys().cloned().collect(),
         Peering::Members => Vec::new(),
     };
@@ -159,7 +154,7 @@
         follows: false,
         queue: EVENT_QUEUE,
     };
-    let daemon = daemon::start::<Event>(bound, &node, part)?;
+    let daemon = daemon::start::<Event>(bound, node, part)?;
     let Daemon {
         cluster,
         linker,
@@ -167,7 +162,7 @@
         rx,
         ..
     } = daemon;
-    let dialer = match &peering {
+    let dialer = match peering {
         Peering::Fixed(peers) => {
             dial_later_peers(&linker, &node.name, peers);
             None
--- a/crates/control/src/pooled.rs
+++ b/crates/control/src/pooled.rs
@@ -54,10 +54,10 @@
         cluster,
     } = duty::start(
         bound,
-        setup.node,
+        &setup.node,
         journal,
         setup.operator_token_hashes,
-        Peering::Members,
+        &Peering::Members,
     )?;
     let operations = Operations::new(tx);
     let port = setup.port;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -17,6 +17,8 @@
 
 /// Time between two probes.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two pings of a suspect.
+pub const SUSPECT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two pings of the seeds while no other member is known.
 pub const JOIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time until other members are asked to probe in our place.
@@ -120,6 +122,8 @@
     since: Instant,
     /// Datagrams on which the record still travels.
     spread: u32,
+    /// When it was last asked as a suspect.
+    asked: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -242,6 +246,7 @@
         self.relays
             .retain(|_, (_, _, sent)| now.duration_since(*sent) < PROBE_INTERVAL * 2);
         out.extend(self.join(now));
+        out.extend(self.ask_suspects(now));
         if self.next_probe.is_none_or(|at| now >= at) {
             self.next_probe = Some(now + PROBE_INTERVAL);
             out.extend(self.probe(now));
@@ -305,6 +310,7 @@
                 member,
                 since: now,
                 spread,
+                asked: None,
             };
             self.table.insert(known.member.node.name.clone(), known);
         }
@@ -426,6 +432,22 @@
         self.order.pop()
     }
 
+    /// Tells suspects what is said of them, again and again until their time is over, so that a
+    /// living one hears of it in time to refute it, whatever datagrams are lost.
+    fn ask_suspects(&mut self, now: Instant) -> Vec<Outgoing> {
+        let mut due = Vec::new();
+        for (name, known) in &mut self.table {
+            let asked = known.asked.is_some_and(|at| now < at + SUSPECT_INTERVAL);
+            if known.member.state == MemberState::Suspect && !asked {
+                known.asked = Some(now);
+                due.push((name.clone(), known.member.gossip));
+            }
+        }
+        due.into_iter()
+            .map(|(name, to)| (to, self.ping(Some(&name))))
+            .collect()
+    }
+
     /// Pings all seeds while no other member is known, so that a cluster that starts at once joins
     /// at once.
     fn join(&mut self, now: Instant) -> Vec<Outgoing> {
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -466,7 +466,7 @@
             return;
         };
         if matches!(reply, Reply::NotSent | Reply::Unknown) {
-            self.on_no_answer(now, pending, reply == Reply::NotSent, out);
+            self.on_no_answer(now, &pending, reply == Reply::NotSent, out);
         } else {
             self.on_answer(now, pending, reply, clock_ms, out);
         }
@@ -521,7 +521,7 @@
     fn on_no_answer(
         &mut self,
         now: Uptime,
-        pending: Pending,
+        pending: &Pending,
         not_sent: bool,
         out: &mut Vec<Action>,
     ) {
@@ -537,13 +537,13 @@
             }));
             self.refuse_queued(NotStarted::NoWorker, out);
         }
-        match pending.call {
+        match &pending.call {
             Call::Start { run, .. } if not_sent => {
-                self.refuse(run, NotStarted::NoWorker, out);
+                self.refuse(*run, NotStarted::NoWorker, out);
             }
-            Call::Start { run, .. } => self.on_start_unanswered(now, run, pending.sent, out),
+            Call::Start { run, .. } => self.on_start_unanswered(now, *run, pending.sent, out),
             Call::Stop { run } => {
-                if let Some(run) = self.runs.get_mut(&run) {
+                if let Some(run) = self.runs.get_mut(run) {
                     run.stop_call = false;
                 }
             }
@@ -561,7 +561,7 @@
         for id in due {
             out.push(Action::DropCall(id));
             if let Some(pending) = self.calls.swap_remove(&id) {
-                self.on_no_answer(now, pending, false, out);
+                self.on_no_answer(now, &pending, false, out);
             }
         }
     }
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -18,7 +18,7 @@
 /// At most this share of a pool's workers is ejected.
 const MAX_EJECTED_SHARE: f64 = 0.34;
 /// Time until an ejected worker is tried with one run; doubles with each return to ejection.
-const FIRST_EJECTION: Duration = Duration::from_millis(1000);
+const FIRST_EJECTION: Duration = Duration::from_secs(1);
 const MAX_EJECTION: Duration = Duration::from_secs(8);
 /// What was learned of a worker's speed counts half after this time without news of it.
 const PACE_HALF_LIFE: Duration = Duration::from_secs(2);
@@ -243,7 +243,7 @@
     }
 
     /// Run time over estimate that is expected of a worker, against the median of its pool.
-    fn slowdown(&self, now: Uptime, worker: &Worker, median_pace: f64) -> f64 {
+    fn slowdown(now: Uptime, worker: &Worker, median_pace: f64) -> f64 {
         let away = f64::from(worker.room.pace) - median_pace;
         let age = now.saturating_sub(worker.reported).as_secs_f64();
         let weight = 0.5_f64.powf(age / PACE_HALF_LIFE.as_secs_f64());
@@ -255,7 +255,7 @@
         let median_pace = self.median_pace(pool);
         self.workers
             .get(name)
-            .map_or(1.0, |worker| self.slowdown(now, worker, median_pace))
+            .map_or(1.0, |worker| Self::slowdown(now, worker, median_pace))
     }
 
     /// The median pace of a pool's workers.
@@ -322,7 +322,7 @@
             if !Self::may_try(now, worker) {
                 continue;
             }
-            let mut factor = self.slowdown(now, worker, median_pace);
+            let mut factor = Self::slowdown(now, worker, median_pace);
             if step
                 .rack
                 .as_ref()
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -56,11 +56,11 @@
                 }
             }
             ToEntry::Ended { run, end, ran_ms } => {
-                self.note_over(run, name, (Some(end), None, ran_ms), out);
+                Self::note_over(run, name, (Some(end), None, ran_ms), out);
                 self.run_over(now, name, run, end, out);
             }
             ToEntry::Refused { run, reason } => {
-                self.note_over(run, name, (None, Some(reason), 0), out);
+                Self::note_over(run, name, (None, Some(reason), 0), out);
                 self.on_refused(now, name, run, reason, out);
             }
             ToEntry::Behind {
@@ -74,7 +74,6 @@
     }
 
     fn note_over(
-        &self,
         run: RunId,
         worker: &Name,
         how: (Option<RunEnd>, Option<NotStarted>, u32),
@@ -170,10 +169,7 @@
         };
         let verdict = job.end_task(now, run, end);
         match verdict {
-            Verdict::Again => {
-                self.waiting.insert(job.rank);
-            }
-            Verdict::StepDone => {
+            Verdict::Again | Verdict::StepDone => {
                 self.waiting.insert(job.rank);
             }
             Verdict::Nothing => {}
@@ -200,7 +196,7 @@
             .collect();
         for name in lost {
             for run in self.runs_at(&name) {
-                self.note_over(run, &name, (Some(RunEnd::Gone), None, 0), out);
+                Self::note_over(run, &name, (Some(RunEnd::Gone), None, 0), out);
                 self.run_over(now, &name, run, RunEnd::Gone, out);
             }
         }
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -47,11 +47,15 @@
 
 impl Net {
     fn new(loss: u32) -> Self {
+        Self::seeded(loss, 3)
+    }
+
+    fn seeded(loss: u32, seed: u64) -> Self {
         let mut net = Self {
             now: Instant::now(),
             nodes: Vec::new(),
             wire: VecDeque::new(),
-            rng: Rng::with_seed(3),
+            rng: Rng::with_seed(seed),
             loss,
             cut: 0,
         };
@@ -108,6 +112,16 @@
     }
 }
 
+#[test]
+fn no_living_member_is_declared_dead_under_loss_whatever_the_seed() {
+    for seed in 0..20 {
+        let mut net = Net::seeded(10, seed);
+        net.run(Duration::from_secs(20));
+        let dead: usize = (0..COUNT).map(|i| net.seen(i, MemberState::Dead, 1)).sum();
+        assert_eq!(dead, 0, "seed {seed}");
+    }
+}
+
 #[test]
 fn all_find_one_another_and_none_is_suspected_for_long_under_loss() {
     let mut net = Net::new(10);
--- a/crates/core/tests/pool_scheduler.rs
+++ b/crates/core/tests/pool_scheduler.rs
@@ -293,7 +293,7 @@
         assert!(bench.now < begin + Duration::from_secs(3));
     }
     let least = rw_core::pool::SILENCE + rw_core::pool::WORKER_LEASE;
-    assert!(bench.now >= begin + least, "{:?}", bench.now - begin);
+    assert!(bench.now >= begin + least, "{:?}", bench.now);
 }
 
 #[test]
--- a/crates/core/tests/support/pool.rs
+++ b/crates/core/tests/support/pool.rs
@@ -334,8 +334,12 @@
         }
     }
 
-    fn note(&mut self, what: String) {
-        self.trace.push_back(format!("{:?} {what}", self.now));
+    fn note<S>(&mut self, what: S)
+    where
+        S: Into<String>,
+    {
+        self.trace
+            .push_back(format!("{:?} {}", self.now, what.into()));
         if self.trace.len() > TRACE {
             self.trace.pop_front();
         }
@@ -548,12 +552,12 @@
         for action in out {
             match action {
                 driver::Action::Send(entry, msg) => {
-                    let e = self.number(&entry);
+                    let e = Self::number(&entry);
                     self.post(e, a, 1, Payload::ToEntry(msg));
                 }
                 driver::Action::Call(id, call) => self.call(a, id, call),
                 driver::Action::DropLink(entry) => {
-                    let e = self.number(&entry);
+                    let e = Self::number(&entry);
                     self.reset(e, a, 0);
                 }
                 driver::Action::DropCall(id) => {
@@ -597,7 +601,7 @@
         agent.replies.insert(at, (answer, id, reply, clock));
     }
 
-    fn number(&self, name: &Name) -> usize {
+    fn number(name: &Name) -> usize {
         name[1..].parse().expect("nodes are named by number")
     }
 
@@ -671,8 +675,8 @@
     }
 
     fn end_silent(link: &mut Link, now: Uptime, awake: [bool; 2]) {
-        for side in 0..2 {
-            if link.up && awake[side] && now >= link.heard[side] + SILENCE {
+        for (side, awake) in awake.into_iter().enumerate() {
+            if link.up && awake && now >= link.heard[side] + SILENCE {
                 link.up = false;
                 link.to_tell = [true; 2];
                 link.way = [VecDeque::new(), VecDeque::new()];
@@ -787,11 +791,11 @@
         for action in out {
             match action {
                 scheduler::Action::Send(agent, msg) => {
-                    let a = self.number(&agent);
+                    let a = Self::number(&agent);
                     self.post(e, a, 0, Payload::ToAgent(msg));
                 }
                 scheduler::Action::Peer(entry, msg) => {
-                    let to = self.number(&entry);
+                    let to = Self::number(&entry);
                     self.post_peer(e, to, msg);
                 }
                 scheduler::Action::Peers(msg) => {
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -74,7 +74,7 @@
     /// Refuses, with a status and a reason.
     fn refuse(&self, status: u16, reason: &str) -> HttpResponse;
     /// The path at which readiness is asked.
-    fn readiness_path(&self) -> &str;
+    fn readiness_path(&self) -> &'static str;
 }
 
 /// Settings of the daemon that may change while it runs.
@@ -379,10 +379,10 @@
         for action in out.drain(..) {
             match action {
                 Action::Send(agent, msg) => {
-                    self.send(now, &agent, Msg::Pool(PoolMsg::ToAgent(msg)));
+                    self.send(now, &agent, &Msg::Pool(PoolMsg::ToAgent(msg)));
                 }
                 Action::Peer(entry, msg) => {
-                    self.send(now, &entry, Msg::Pool(PoolMsg::Peer(msg)));
+                    self.send(now, &entry, &Msg::Pool(PoolMsg::Peer(msg)));
                 }
                 Action::Peers(msg) => {
                     let msg = Msg::Pool(PoolMsg::Peer(msg));
@@ -398,9 +398,9 @@
         }
     }
 
-    fn send(&mut self, now: Uptime, name: &Name, msg: Msg) {
+    fn send(&mut self, now: Uptime, name: &Name, msg: &Msg) {
         if let Some(conn) = self.peers.conn(name) {
-            self.net.send(now, conn, &msg);
+            self.net.send(now, conn, msg);
         }
     }
 
--- a/crates/host/src/net/conn.rs
+++ b/crates/host/src/net/conn.rs
@@ -37,6 +37,10 @@
     Link,
 }
 
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts of one connection"
+)]
 pub(super) struct Conn {
     pub(super) stream: TcpStream,
     pub(super) role: Role,
