Entries pay less for reports, placements and logs

Change: room is reported by how much changed, at once to two waiting entries in turn; one placement for all that arrived together; runs of a job in one line, ends that are done only at the agent.

--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -48,8 +48,15 @@
 const REMEMBER_ENDS: Duration = Duration::from_secs(3);
 /// Runs that may wait here for room.
 const MAX_QUEUED: usize = 24;
-/// Time between two reports of room to an entry that has nothing waiting.
-const REPORT_EVERY: Duration = Duration::from_millis(12);
+/// Room that was freed is told at once to so many entries in which tasks wait, in turn.
+const TELL_AT_ONCE: usize = 2;
+/// Time between two reports of room to an entry in which tasks wait.
+const REPORT_WAITING: Duration = Duration::from_millis(12);
+/// Time between two reports of room that changed a lot, and of room that changed at all.
+const REPORT_EVERY: Duration = Duration::from_millis(25);
+const REPORT_SLOWLY: Duration = Duration::from_millis(100);
+/// Room changed a lot when this part of the worker's cores was taken or freed.
+const MUCH_ROOM: u32 = 6;
 /// Learning of a worker's pace and failures.
 const LEARN: f32 = 0.2;
 
@@ -337,6 +344,8 @@
     last_answer: Uptime,
     silent: bool,
     next_look: Uptime,
+    /// Entry that is told of freed room first next time.
+    turn: usize,
     /// Ends that could not be told.
     ended: IndexMap<RunId, (RunEnd, u32, Uptime)>,
     pace: f32,
@@ -362,6 +371,7 @@
             last_answer: now,
             silent: false,
             next_look: now,
+            turn: 0,
             ended: IndexMap::new(),
             pace: 0.0,
             failing: 0.0,
@@ -409,7 +419,7 @@
             return super::PING_EVERY;
         }
         let soonest = self.calls.values().map(|pending| pending.timeout).min();
-        let limit = REPORT_EVERY;
+        let limit = REPORT_WAITING;
         soonest.map_or(limit, |at| at.saturating_sub(now).min(limit))
     }
 
--- a/crates/core/src/pool/driver/owners.rs
+++ b/crates/core/src/pool/driver/owners.rs
@@ -4,7 +4,10 @@
 use super::super::job::{Resources, RunId};
 use super::super::msg::{Room, ToAgent, ToEntry};
 use super::super::{PING_EVERY, SILENCE};
-use super::{Action, Driver, Entry, Name, Note, REPORT_EVERY, State};
+use super::{
+    Action, Driver, Entry, MUCH_ROOM, Name, Note, REPORT_EVERY, REPORT_SLOWLY, REPORT_WAITING,
+    State, TELL_AT_ONCE,
+};
 use crate::ids::NodeRef;
 
 impl Driver {
@@ -165,14 +168,23 @@
     /// Reports the worker and its room to entries that should know.
     pub(super) fn report(&mut self, now: Uptime, out: &mut Vec<Action>) {
         let open = self.open();
-        let free = self.free();
         let queued_runs = self.runs.values().filter(|run| run.state == State::Queued);
-        let free = queued_runs
-            .clone()
-            .fold(free, |free, run| free.minus(run.needs));
-        let queued = queued_runs.count() as u32;
+        let queued = queued_runs.clone().count() as u32;
+        let free = queued_runs.fold(self.free(), |free, run| free.minus(run.needs));
         let info = self.worker.as_ref().map(|worker| worker.info.clone());
-        for (name, entry) in self.entries.iter_mut().filter(|(_, e)| e.linked) {
+        let much = info
+            .as_ref()
+            .map_or(0, |info| info.capacity.cpu_milli / MUCH_ROOM);
+        let mut at_once = TELL_AT_ONCE;
+        let count = self.entries.len();
+        for i in 0..count {
+            let at = (self.turn + i) % count;
+            let Some((name, entry)) = self.entries.get_index_mut(at) else {
+                continue;
+            };
+            if !entry.linked {
+                continue;
+            }
             if let Some(info) = info.as_ref().filter(|_| !entry.told_info) {
                 entry.told_info = true;
                 out.push(Action::Send(name.clone(), ToEntry::Worker(info.clone())));
@@ -185,7 +197,13 @@
                 pace: self.pace,
                 failing: self.failing,
             };
-            if entry.should_report(now, &room) {
+            let news = entry.news(&room, much);
+            let first = news == News::Freed && entry.waiting > 0 && at_once > 0;
+            if first || entry.is_due(now, news) {
+                if first {
+                    at_once -= 1;
+                    self.turn = at + 1;
+                }
                 entry.reported = Some((now, room));
                 out.push(Action::Send(name.clone(), ToEntry::Room(room)));
             }
@@ -193,18 +211,51 @@
     }
 }
 
+/// How much an entry would learn from a report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum News {
+    /// It knows nothing, or whether the worker takes runs has changed.
+    All,
+    /// There is more room.
+    Freed,
+    /// The room, or what is learned of the worker, changed a lot.
+    Much,
+    /// Something changed.
+    Some,
+    None,
+}
+
 impl Entry {
-    fn should_report(&self, now: Uptime, room: &Room) -> bool {
-        let Some((at, last)) = &self.reported else {
-            return true;
+    fn news(&self, room: &Room, much: u32) -> News {
+        let Some((_, last)) = &self.reported else {
+            return News::All;
         };
-        let moved = last.free != room.free || last.seen != room.seen;
-        if last.open != room.open || moved && self.waiting > 0 {
-            return true;
+        let (before, after) = (last.free.cpu_milli, room.free.cpu_milli);
+        let learned =
+            (last.pace - room.pace).abs() > 0.2 || (last.failing - room.failing).abs() > 0.1;
+        if last.open != room.open {
+            News::All
+        } else if after > before && self.waiting > 0 {
+            News::Freed
+        } else if before.abs_diff(after) >= much.max(1) || learned {
+            News::Much
+        } else if last != room {
+            News::Some
+        } else {
+            News::None
+        }
+    }
+
+    fn is_due(&self, now: Uptime, news: News) -> bool {
+        let since = self
+            .reported
+            .map_or(Uptime::MAX, |(at, _)| now.saturating_sub(at));
+        match news {
+            News::All => true,
+            News::Freed => since >= REPORT_WAITING,
+            News::Much => since >= REPORT_EVERY,
+            News::Some => since >= REPORT_SLOWLY,
+            News::None => since >= PING_EVERY * 4,
         }
-        let changed = moved
-            || (last.pace - room.pace).abs() > 0.05
-            || (last.failing - room.failing).abs() > 0.02;
-        changed && now >= *at + REPORT_EVERY || now >= *at + PING_EVERY * 4
     }
 }
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::Uptime;
 use super::job::{Resources, RunId, Step};
@@ -27,6 +27,8 @@
 const FULL_WEIGHT: f64 = 1.2;
 /// A task is sent only where it is expected to end within this share of the time to its aim.
 const IN_TIME_SHARE: f64 = 0.97;
+/// Time between two looks at the pace of all workers.
+const REFRESH_EVERY: Duration = Duration::from_millis(40);
 /// Of many workers only so many are compared at a time, so that entries do not all send to the few
 /// best ones at once, and a choice costs the same at any size.
 const SAMPLE: usize = 14;
@@ -84,6 +86,9 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     workers: IndexMap<Name, Worker>,
+    /// Median pace by pool.
+    medians: IndexMap<Name, f64>,
+    next_refresh: Uptime,
 }
 
 /// A worker that was chosen for a task, with what decided.
@@ -258,10 +263,30 @@
             .map_or(1.0, |worker| Self::slowdown(now, worker, median_pace))
     }
 
-    /// The median pace of a pool's workers.
+    /// The median pace of a pool's workers, as of the last refresh.
     pub fn median_pace(&self, pool: &Name) -> f64 {
-        let paces = self.peers(pool).map(|(_, worker)| worker.room.pace);
-        f64::from(median(paces.collect()))
+        self.medians.get(pool).copied().unwrap_or(0.0)
+    }
+
+    /// Works out the median paces anew, now and then: every choice asks for them.
+    pub fn refresh(&mut self, now: Uptime) {
+        if now < self.next_refresh {
+            return;
+        }
+        self.next_refresh = now + REFRESH_EVERY;
+        let pools = self
+            .workers
+            .values()
+            .filter_map(|w| w.info.as_ref()?.pool.clone());
+        let pools: IndexSet<Name> = pools.collect();
+        for pool in pools {
+            let paces = self
+                .peers(&pool)
+                .map(|(_, worker)| worker.room.pace)
+                .collect();
+            let pace = f64::from(median(paces));
+            self.medians.insert(pool, pace);
+        }
     }
 
     /// The best worker for a task: of those on which it is expected to end within `in_time`, if
@@ -312,7 +337,8 @@
     {
         let median_pace = self.median_pace(pool);
         let mut best: Option<(f64, Choice)> = None;
-        let range = self.workers.iter().cycle().skip(first).take(count);
+        let all = self.workers.len();
+        let range = (first..first + count).filter_map(|i| self.workers.get_index(i % all));
         for (name, worker) in range.filter(|(_, w)| w.takes()) {
             let free = worker.free();
             let labelled = step.label.as_ref().is_none_or(|l| worker.has_label(l));
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -65,6 +65,17 @@
     Note(Note),
 }
 
+/// One run that was sent, with what decided.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// The run.
+    pub run: RunId,
+    /// The choice with its inputs.
+    pub choice: Choice,
+    /// Time that the task waited.
+    pub waited: Duration,
+}
+
 /// Decisions and observations that are logged and counted.
 #[derive(Clone, Debug)]
 pub enum Note {
@@ -83,16 +94,14 @@
         /// The entry that must yield it first.
         waits_for: Option<Name>,
     },
-    /// A run was sent to a worker.
+    /// Runs of a job were sent to workers.
     Placed {
-        /// The run.
-        run: RunId,
-        /// The choice with its inputs.
-        choice: Choice,
-        /// Time that the task waited.
-        waited: Duration,
+        /// The job.
+        job: JobId,
         /// The queue.
         queue: Name,
+        /// The runs.
+        runs: Vec<Placed>,
     },
     /// A run ended or never started.
     RunOver {
@@ -265,6 +274,8 @@
     /// Highest attempts of jobs that ended here while runs were left, so that a rerun goes on above.
     past_attempts: IndexMap<JobId, u32>,
     told_waiting: u32,
+    /// Room may have been freed since the last placement.
+    room_freed: bool,
     /// Work sent of late, by pool.
     loads: IndexMap<Name, PoolLoad>,
     next_rank: Uptime,
@@ -285,6 +296,7 @@
             yields: Vec::new(),
             past_attempts: IndexMap::new(),
             told_waiting: 0,
+            room_freed: false,
             loads: IndexMap::new(),
             next_rank: now,
             seen: now,
@@ -535,6 +547,14 @@
         self.settle(now, id, out);
     }
 
+    /// Places what waits, if room was freed by what was handed on. The adapter calls this once for
+    /// all that arrived together, since a placement looks at many jobs.
+    pub fn settle_room(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        if std::mem::take(&mut self.room_freed) && !self.waiting.is_empty() {
+            self.pump(now, out);
+        }
+    }
+
     /// Acts on the passing of time.
     pub fn tick(&mut self, now: Uptime, out: &mut Vec<Action>) {
         let begun = self.owners.tick(now);
@@ -542,6 +562,7 @@
             out.push(Action::Peers(Peer::Began { jobs: begun }));
         }
         self.fleet.tidy(now, FORGET_WORKER);
+        self.fleet.refresh(now);
         self.end_doubts(now, out);
         self.release_holds(now, out);
         self.drop_overdue(now, out);
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -1,8 +1,9 @@
 //! Placement: which waiting task goes to which worker.
 
 use super::super::Uptime;
+use super::super::job::Resources;
 use super::super::msg::{Start, ToAgent};
-use super::{Action, Duration, JobId, Name, Note, Rank, Scheduler, TaskState, Tier};
+use super::{Action, Duration, JobId, Name, Note, Placed, Rank, Scheduler, TaskState, Tier};
 
 /// Waiting jobs without a place that are tried before the rest is left for the next report.
 const MAX_MISSES: usize = 12;
@@ -18,30 +19,44 @@
         self.rank_waiting(now, out);
         let order: Vec<Rank> = self.waiting.iter().copied().collect();
         let mut misses = 0;
+        // The least that found no room; what takes as much finds none either.
+        let mut least: Option<Resources> = None;
         for rank in order {
-            if misses < MAX_MISSES && !self.place_job(now, rank.2, out) {
-                misses += 1;
-            }
-            if misses >= MAX_MISSES {
-                // What waits behind them would find no room either.
+            let hopeless = least.is_some_and(|least| self.takes_as_much(rank.2, least));
+            if misses >= MAX_MISSES || hopeless {
                 self.miss(rank.2);
+                continue;
+            }
+            if let Some(needs) = self.place_job(now, rank.2, out) {
+                misses += 1;
+                if rank.0 == Tier::Late {
+                    least = Some(needs);
+                }
             }
         }
         self.tell_waiting(out);
     }
 
+    fn takes_as_much(&self, id: JobId, least: Resources) -> bool {
+        self.jobs.get(&id).is_some_and(|job| {
+            let steps = job.spec.steps.iter();
+            steps
+                .clone()
+                .all(|step| least.fits(step.needs) && step.label.is_none())
+        })
+    }
+
     fn miss(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.missed = Some(job.rank.0);
         }
     }
 
-    /// Places a job's ready tasks. `false` if one found no worker.
-    fn place_job(&mut self, now: Uptime, id: JobId, out: &mut Vec<Action>) -> bool {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return true;
-        };
-        let mut placed_all = true;
+    /// Places a job's ready tasks. Returns what the first that found no worker takes.
+    fn place_job(&mut self, now: Uptime, id: JobId, out: &mut Vec<Action>) -> Option<Resources> {
+        let job = self.jobs.get_mut(&id)?;
+        let mut missed = None;
+        let mut runs = Vec::new();
         for i in 0..job.tasks.len() {
             if !job.is_ready(&job.tasks[i]) {
                 continue;
@@ -65,7 +80,7 @@
                 .fleet
                 .choose(now, pool, &step, in_time, allowed, &mut self.rng);
             let Some(choice) = choice else {
-                placed_all = false;
+                missed = Some(step.needs);
                 job.missed = Some(job.rank.0);
                 break;
             };
@@ -95,17 +110,23 @@
                 payload: job.spec.payload.clone(),
             };
             out.push(Action::Send(choice.worker.clone(), ToAgent::Start(start)));
-            out.push(Action::Note(Note::Placed {
+            runs.push(Placed {
                 run,
                 choice,
                 waited,
+            });
+        }
+        if !runs.is_empty() {
+            out.push(Action::Note(Note::Placed {
+                job: id,
                 queue: job.queue.name.clone(),
+                runs,
             }));
         }
         if !job.has_ready() {
             self.waiting.remove(&job.rank);
         }
-        placed_all
+        missed
     }
 
     /// Tells agents when tasks begin or cease to wait, so that they report freed room at once.
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -51,9 +51,7 @@
                         failing: room.failing,
                     }));
                 }
-                if !self.waiting.is_empty() {
-                    self.pump(now, out);
-                }
+                self.room_freed = true;
             }
             ToEntry::Ended { run, end, ran_ms } => {
                 Self::note_over(run, name, (Some(end), None, ran_ms), out);
@@ -179,9 +177,7 @@
                 self.answer(now, id, &answer, out);
             }
         }
-        if !self.waiting.is_empty() {
-            self.pump(now, out);
-        }
+        self.room_freed = true;
     }
 
     /// Runs on workers that have been away long enough have surely ended.
--- a/crates/core/tests/support/pool.rs
+++ b/crates/core/tests/support/pool.rs
@@ -730,6 +730,7 @@
                 self.entries[e].core.observe(now, &mut out);
                 let name: Name = format!("a{a}").into();
                 self.entries[e].core.on_agent(now, &name, msg, &mut out);
+                self.entries[e].core.settle_room(now, &mut out);
                 self.act_entry(e, out);
             }
             Payload::Ping | Payload::Peer(_) => {}
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -1,10 +1,12 @@
 //! Log lines and metrics of the scheduler's decisions.
 
+use std::fmt::Write;
 use std::sync::LazyLock;
 use std::time::Duration;
 
 use prometheus::{HistogramVec, IntCounter, IntCounterVec};
-use rw_core::pool::scheduler::{Answer, Note, Scheduler};
+use rw_core::pool::job::RunEnd;
+use rw_core::pool::scheduler::{Answer, Note, Placed, Scheduler};
 use rw_host::metrics;
 use rw_host::net::Net;
 
@@ -62,18 +64,13 @@
                 deadline_ms = ms(*deadline), version = version,
                 waits_for = waits_for.as_deref().unwrap_or(""); "job accepted");
         }
-        Note::Placed {
-            run,
-            choice,
-            waited,
-            queue,
-        } => {
-            WAITS
-                .with_label_values(&[&**queue])
-                .observe(waited.as_secs_f64());
-            log::info!(run:% = run, worker:% = choice.worker, free_cpu = choice.free.cpu_milli,
-                age_ms = ms(choice.age), expected_ms = ms(choice.expected),
-                waited_ms = ms(*waited); "run sent");
+        Note::Placed { job, queue, runs } => {
+            for placed in runs {
+                WAITS
+                    .with_label_values(&[&**queue])
+                    .observe(placed.waited.as_secs_f64());
+            }
+            log::info!(job:% = job, runs = placements(runs); "runs sent");
         }
         Note::RunOver {
             run,
@@ -82,6 +79,11 @@
             refused,
             ran_ms,
         } => {
+            if *end == Some(RunEnd::Done) {
+                // Its agent logs each end; the answer tells that all are done.
+                RUNS.with_label_values(&["Done"]).inc();
+                return;
+            }
             let end = match (end, refused) {
                 (Some(end), _) => format!("{end:?}"),
                 (None, Some(why)) => format!("{why:?}"),
@@ -134,6 +136,32 @@
     }
 }
 
+/// Each run as `step.index#attempt@worker`, with the worker's free cores in thousandths as believed,
+/// the age of that belief, the expected run time and the time waited, in milliseconds.
+fn placements(runs: &[Placed]) -> String {
+    let mut text = String::with_capacity(runs.len() * 64);
+    for Placed {
+        run,
+        choice,
+        waited,
+    } in runs
+    {
+        let _ = write!(
+            text,
+            "{}.{}#{}@{} free={} age={} expected={} waited={};",
+            run.task.step,
+            run.task.index,
+            run.attempt,
+            choice.worker,
+            choice.free.cpu_milli,
+            ms(choice.age),
+            ms(choice.expected),
+            ms(*waited)
+        );
+    }
+    text
+}
+
 /// Notes what is held.
 pub fn held(core: &Scheduler, net: &Net) {
     let set = |what: &str, value: usize| {
--- a/crates/host/src/logging.rs
+++ b/crates/host/src/logging.rs
@@ -65,20 +65,51 @@
 }
 
 fn json_line(message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
-    let mut object = serde_json::Map::new();
-    object.insert("time".into(), time().into());
-    object.insert("level".into(), record.level().as_str().into());
-    object.insert("message".into(), message.to_string().into());
-    let mut fields = JsonFields(&mut object);
+    let mut line = String::with_capacity(256);
+    line.push('{');
+    let mut fields = JsonFields(&mut line);
+    fields.add("time", &time());
+    fields.add("level", &record.level());
+    fields.add("message", message);
     let _ = record.key_values().visit(&mut fields);
-    serde_json::Value::Object(object).to_string()
+    line.push('}');
+    line
 }
 
-struct JsonFields<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
+/// Writes fields straight into the line: there are several for each job.
+struct JsonFields<'a>(&'a mut String);
+
+impl JsonFields<'_> {
+    fn add(&mut self, key: &str, value: &dyn std::fmt::Display) {
+        if !self.0.ends_with('{') {
+            self.0.push(',');
+        }
+        let _ = write!(self.0, "\"{key}\":\"");
+        let _ = write!(Escaped(self.0), "{value}");
+        self.0.push('"');
+    }
+}
 
 impl<'kvs> VisitSource<'kvs> for JsonFields<'_> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        self.0.insert(key.to_string(), value.to_string().into());
+        self.add(key.as_str(), &value);
+        Ok(())
+    }
+}
+
+/// Escapes what a JSON string cannot hold as it is.
+struct Escaped<'a>(&'a mut String);
+
+impl std::fmt::Write for Escaped<'_> {
+    fn write_str(&mut self, text: &str) -> std::fmt::Result {
+        for c in text.chars() {
+            match c {
+                '"' => self.0.push_str("\\\""),
+                '\\' => self.0.push_str("\\\\"),
+                c if c < ' ' => write!(self.0, "\\u{:04x}", c as u32)?,
+                c => self.0.push(c),
+            }
+        }
         Ok(())
     }
 }
