One read for what arrived on a socket

Cause: each arrival cost a second read that found nothing; an edge pays for system calls. Change: a read that does not fill the buffer took all, unless the other side has ended its half.

--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -63,6 +63,27 @@
     Woken,
 }
 
+/// What a socket is ready for.
+struct Ready {
+    token: usize,
+    readable: bool,
+    writable: bool,
+    /// The other side sends nothing more, or the connection failed.
+    half_closed: bool,
+}
+
+impl Ready {
+    fn of(event: &mio::event::Event) -> Self {
+        let half_closed = event.is_read_closed() || event.is_error();
+        Self {
+            token: event.token().0,
+            readable: event.is_readable() || half_closed,
+            writable: event.is_writable(),
+            half_closed,
+        }
+    }
+}
+
 /// The sockets.
 pub struct Net {
     poll: Poll,
@@ -229,22 +250,16 @@
             Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(()),
             Err(e) => return Err(e),
         }
-        let ready: Vec<(usize, bool, bool)> = self
-            .events
-            .iter()
-            .map(|e| {
-                let readable = e.is_readable() || e.is_read_closed() || e.is_error();
-                (e.token().0, readable, e.is_writable())
-            })
-            .collect();
+        let ready: Vec<Ready> = self.events.iter().map(Ready::of).collect();
         let now = crate::clock::uptime();
-        for (token, readable, writable) in ready {
+        for ready in ready {
+            let token = ready.token;
             if token == WAKER.0 {
                 out.push(NetEvent::Woken);
             } else if self.listeners.contains_key(&token) {
                 self.accept(now, token);
             } else {
-                self.serve(now, token, readable, writable, out);
+                self.serve(now, &ready, out);
             }
         }
         Ok(())
@@ -281,14 +296,8 @@
         }
     }
 
-    fn serve(
-        &mut self,
-        now: Uptime,
-        id: ConnId,
-        readable: bool,
-        writable: bool,
-        out: &mut Vec<NetEvent>,
-    ) {
+    fn serve(&mut self, now: Uptime, ready: &Ready, out: &mut Vec<NetEvent>) {
+        let (id, writable) = (ready.token, ready.writable);
         let Some(conn) = self.conns.get_mut(&id) else {
             return;
         };
@@ -296,8 +305,8 @@
             conn.opened = conn.stream.peer_addr().is_ok();
         }
         let mut open = true;
-        if readable {
-            open = conn.read(now);
+        if ready.readable {
+            open = conn.read(now, ready.half_closed);
             conn.take_events(now, id, &self.key, &self.hello, &self.limits, out);
         }
         if conn.broken {
--- a/crates/host/src/net/conn.rs
+++ b/crates/host/src/net/conn.rs
@@ -163,8 +163,9 @@
         self.serving || self.has_output()
     }
 
-    /// Reads what arrived. `false` when the connection is over.
-    pub(super) fn read(&mut self, now: Uptime) -> bool {
+    /// Reads what arrived. `false` when the connection is over. Unless the other side has ended its
+    /// half, a read that does not fill the buffer took all: what comes later is a new event.
+    pub(super) fn read(&mut self, now: Uptime, half_closed: bool) -> bool {
         let mut buf = [0; READ_BYTES];
         loop {
             if self.serving && self.input.len() > MAX_AHEAD {
@@ -183,6 +184,9 @@
                         self.begun = Some(now);
                     }
                     self.input.extend_from_slice(&buf[..len]);
+                    if len < READ_BYTES && !half_closed {
+                        return true;
+                    }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
