--- a/crates/core/src/raft.rs
+++ b/crates/core/src/raft.rs
@@ -34,8 +34,12 @@
 pub const COMPACT_AFTER: usize = 1000;
 /// A learner that is silent for this long is dropped.
 const LEARNER_TIMEOUT: Duration = Duration::from_secs(5);
-/// A voter that is silent for this long makes room for a new server that has caught up.
+/// Of an odd number of voters one that is silent for this long leaves; a restart takes less.
 const GONE_AFTER: Duration = Duration::from_secs(10);
+/// Of an even number of voters one that is silent for this long leaves.
+const SPARE_GONE_AFTER: Duration = Duration::from_secs(2);
+/// Fewer voters than this bear no loss, so none of them is removed for its silence.
+const MIN_VOTERS: usize = 3;
 /// The most voters.
 const MAX_VOTERS: usize = 9;
 /// Heartbeat rounds whose times are remembered.
--- a/crates/core/src/raft/replicate.rs
+++ b/crates/core/src/raft/replicate.rs
@@ -83,7 +83,7 @@
             return;
         }
         self.sync_peers(now);
-        self.admit_learner(now, fx);
+        self.change_voters(now, fx);
         self.broadcast(now, fx);
         self.advance_commit(fx);
     }
--- a/crates/core/src/raft/voters.rs
+++ b/crates/core/src/raft/voters.rs
@@ -1,8 +1,8 @@
 //! Voters: joining, admission and removal, one change at a time.
 
 use super::{
-    Body, Command, ELECTION_MIN, Effects, GONE_AFTER, Instant, LEARNER_TIMEOUT, MAX_VOTERS,
-    Progress, Raft, RaftMsg, VoterId,
+    Body, Command, Duration, ELECTION_MAX, ELECTION_MIN, Effects, GONE_AFTER, Instant,
+    LEARNER_TIMEOUT, MAX_VOTERS, MIN_VOTERS, Progress, Raft, RaftMsg, SPARE_GONE_AFTER, VoterId,
 };
 
 impl Raft {
@@ -70,49 +70,62 @@
         self.send_append(from, fx);
     }
 
-    /// Admits a learner that has caught up: first its lost predecessor leaves, then it enters.
-    pub(super) fn admit_learner(&mut self, now: Instant, fx: &mut Effects) {
+    /// Makes one change of the voters, if one is due and none is under way: a voter that is gone
+    /// leaves, or a learner that has caught up enters.
+    pub(super) fn change_voters(&mut self, now: Instant, fx: &mut Effects) {
         let pending = (self.commit + 1..=self.last_index())
             .filter_map(|index| self.entry(index))
             .any(|entry| matches!(entry.command, Command::Voters(_)));
         if pending || !self.term_committed() {
             return;
         }
+        let voters = self.without_gone(now).or_else(|| self.with_learner(now));
+        let Some(voters) = voters else { return };
+        self.append_own(Command::Voters(voters), fx);
+        self.sync_peers(now);
+    }
+
+    /// The voters with a learner that has caught up; its lost predecessor leaves first. A new
+    /// server enters before the one that it replaces leaves, since it is known to be there.
+    fn with_learner(&self, now: Instant) -> Option<Vec<VoterId>> {
         let ready = |(peer, progress): &(&VoterId, &Progress)| {
             !self.voters.contains(*peer)
                 && progress.matched >= self.commit
                 && now.duration_since(progress.heard) < ELECTION_MIN
         };
-        let Some((learner, _)) = self.peers.iter().find(ready) else {
-            return;
-        };
-        let learner = learner.clone();
+        let (learner, _) = self.peers.iter().find(ready)?;
         let mut voters = self.voters.clone();
         let before = voters.len();
         voters.retain(|voter| voter.name != learner.name);
         if voters.len() == before {
-            // A server that is gone for good makes room first.
-            match self.gone_voter(now) {
-                Some(gone) => voters.retain(|voter| *voter != gone),
-                None if voters.len() < MAX_VOTERS => voters.push(learner),
-                None => return,
+            if before >= MAX_VOTERS {
+                return None;
             }
+            voters.push(learner.clone());
         }
-        self.append_own(Command::Voters(voters), fx);
-        self.sync_peers(now);
+        Some(voters)
     }
 
-    /// A voter that was not heard of for long, if a majority of the others is there.
-    fn gone_voter(&self, now: Instant) -> Option<VoterId> {
-        let silent = |voter: &VoterId| {
-            *voter != self.me
-                && self
-                    .peers
-                    .get(voter)
-                    .is_none_or(|progress| now.duration_since(progress.heard) >= GONE_AFTER)
+    /// The voters without one that was silent for too long. Of an even number one more bears no
+    /// loss, so a silent one leaves soon; else it leaves when it is surely not just restarted.
+    fn without_gone(&self, now: Instant) -> Option<Vec<VoterId>> {
+        let count = self.voters.len();
+        if count <= MIN_VOTERS {
+            return None;
+        }
+        let limit = if count.is_multiple_of(2) {
+            SPARE_GONE_AFTER
+        } else {
+            GONE_AFTER
+        };
+        let silence = |voter: &VoterId| match self.peers.get(voter) {
+            _ if *voter == self.me => Duration::ZERO,
+            Some(progress) => now.duration_since(progress.heard),
+            None => Duration::MAX,
         };
-        let gone = self.voters.iter().find(|voter| silent(voter))?;
-        let present = self.voters.iter().filter(|voter| !silent(voter)).count();
-        (present > (self.voters.len() - 1) / 2).then(|| gone.clone())
+        let gone = self.voters.iter().find(|voter| silence(voter) >= limit)?;
+        let rest: Vec<VoterId> = self.voters.iter().filter(|v| *v != gone).cloned().collect();
+        let present = rest.iter().filter(|v| silence(v) < ELECTION_MAX).count();
+        (present > rest.len() / 2).then_some(rest)
     }
 }
