Sick workers: refusals do not draw work, stand-still is seen sooner, the recovered come back sooner

Cause: a worker that refuses looks empty; 500 refusals in 2 s went round between one worker and four entries. A hung run of a long task was seen after 1.4 times its estimate only. A recovered worker was tried with one run each 8 s and needed five. Change: after a refusal for its health a worker is left alone for 20 ms, doubling; a run stands still when its percent does not rise for 150 ms and 15 percents' time; ejections last 3 s at most and end after a few done runs in a row; pace fades at the agent; failing workers score worse.

--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -57,8 +57,14 @@
 const REPORT_SLOWLY: Duration = Duration::from_millis(100);
 /// Room changed a lot when this part of the worker's cores was taken or freed.
 const MUCH_ROOM: u32 = 6;
+/// What was learned of a worker's pace counts in full for this long, and half after each half-life.
+const PACE_KEPT: Duration = Duration::from_secs(1);
+const PACE_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Learning of a worker's pace and failures.
 const LEARN: f32 = 0.2;
+/// The same for a run that is done on a worker whose share of failures is above a limit.
+const LEARN_RECOVERY: f32 = 0.4;
+const FAILING_A_LOT: f32 = 0.25;
 
 /// A call to the worker.
 #[derive(Clone, Debug, PartialEq)]
@@ -281,6 +287,8 @@
     advanced: Uptime,
     /// Run time after which the entry is told again that it is behind.
     tell_behind: Duration,
+    /// When the entry is told again that it stands still.
+    tell_still: Uptime,
     /// Whether its pace was learned before its end.
     judged: bool,
     /// When a stop was answered; lists that were asked for later tell the truth about it.
@@ -349,6 +357,7 @@
     /// Ends that could not be told.
     ended: IndexMap<RunId, (RunEnd, u32, Uptime)>,
     pace: f32,
+    pace_learned: Uptime,
     failing: f32,
     leaving: bool,
 }
@@ -374,6 +383,7 @@
             turn: 0,
             ended: IndexMap::new(),
             pace: 0.0,
+            pace_learned: now,
             failing: 0.0,
             leaving: false,
         }
@@ -605,7 +615,7 @@
             return;
         };
         let ran = now.saturating_sub(gone.started);
-        self.learn(&gone, end, ran);
+        self.learn(now, &gone, end, ran);
         out.push(Action::Note(Note::Ended { run, end, ran }));
         let ran_ms = ran.as_millis() as u32;
         let Some(owner) = gone.owner else {
@@ -617,23 +627,38 @@
         }
     }
 
-    fn learn(&mut self, run: &Run, end: RunEnd, ran: Duration) {
+    fn learn(&mut self, now: Uptime, run: &Run, end: RunEnd, ran: Duration) {
         let failed = match end {
             RunEnd::Done => 0.0,
             RunEnd::Failed => 1.0,
             RunEnd::Gone => return,
         };
-        self.failing += LEARN * (failed - self.failing);
+        // A worker that failed a lot is tried with few runs, so each that is done says more.
+        let recovers = end == RunEnd::Done && self.failing > FAILING_A_LOT;
+        let rate = if recovers { LEARN_RECOVERY } else { LEARN };
+        self.failing += rate * (failed - self.failing);
         if end == RunEnd::Done && !run.judged {
-            self.learn_pace(run.estimate, ran);
+            self.learn_pace(now, run.estimate, ran);
         }
     }
 
-    fn learn_pace(&mut self, estimate: Duration, ran: Duration) {
+    /// What was learned of the worker's pace. It fades while nothing new is learned, so that a worker
+    /// that was slow is tried again.
+    fn pace(&self, now: Uptime) -> f32 {
+        let idle = now
+            .saturating_sub(self.pace_learned)
+            .saturating_sub(PACE_KEPT);
+        let halves = idle.as_secs_f32() / PACE_HALF_LIFE.as_secs_f32();
+        self.pace * 0.5_f32.powf(halves)
+    }
+
+    fn learn_pace(&mut self, now: Uptime, estimate: Duration, ran: Duration) {
         if estimate.is_zero() || ran.is_zero() {
             return;
         }
         let ratio = (ran.as_secs_f32() / estimate.as_secs_f32()).ln();
+        self.pace = self.pace(now);
+        self.pace_learned = now;
         self.pace += LEARN * (ratio.clamp(-3.0, 3.0) - self.pace);
     }
 
--- a/crates/core/src/pool/driver/lists.rs
+++ b/crates/core/src/pool/driver/lists.rs
@@ -14,9 +14,12 @@
 const BEHIND_TIME: Duration = Duration::from_millis(40);
 /// The entry is told again when the run time grew by this factor.
 const BEHIND_AGAIN: f64 = 1.4;
-/// A run whose percent did not rise for this long, and for this share of its run time, stands still.
-const STILL_TIME: Duration = Duration::from_millis(220);
-const STILL_SHARE: f64 = 0.5;
+/// A run whose percent did not rise for this long, and for the time of so many percents, stands
+/// still.
+const STILL_TIME: Duration = Duration::from_millis(150);
+const STILL_PERCENTS: f64 = 15.0;
+/// Time between two words to the entry that a run stands still.
+const STILL_AGAIN: Duration = Duration::from_millis(250);
 
 /// Run time after which an entry is first told that a run is behind.
 pub(super) fn first_behind(estimate: Duration) -> Duration {
@@ -130,15 +133,17 @@
             return;
         };
         let ran = now.saturating_sub(run.started);
-        if ran < run.tell_behind {
-            return;
-        }
-        let still = now.saturating_sub(run.advanced);
-        let stands = still > STILL_TIME && still > ran.mul_f64(STILL_SHARE);
-        if !stands && run.percent == 0 {
+        let stands = run.stands_still(now);
+        let due = if stands {
+            now >= run.tell_still
+        } else {
+            ran >= run.tell_behind
+        };
+        if !due || !stands && run.percent == 0 {
             return;
         }
-        run.tell_behind = ran.mul_f64(BEHIND_AGAIN);
+        run.tell_behind = run.tell_behind.max(ran.mul_f64(BEHIND_AGAIN));
+        run.tell_still = now + STILL_AGAIN;
         let percent = f64::from(run.percent.max(1));
         let left = ran.mul_f64((100.0 - percent).max(0.0) / percent);
         let left_ms = (!stands).then(|| left.as_millis().min(u128::from(u32::MAX)) as u32);
@@ -151,7 +156,7 @@
         run.judged = true;
         let owner = run.owner.clone();
         if let Some((estimate, total)) = learned {
-            self.learn_pace(estimate, total);
+            self.learn_pace(now, estimate, total);
         }
         if stands {
             self.failing += super::LEARN * (1.0 - self.failing);
@@ -225,3 +230,14 @@
         }
     }
 }
+
+impl Run {
+    /// Whether its percent rises far too slowly for its estimate and for what it did so far.
+    fn stands_still(&self, now: Uptime) -> bool {
+        let worked = self.advanced.saturating_sub(self.started);
+        let percent = f64::from(self.percent.max(1));
+        let pace = self.estimate.div_f64(100.0).max(worked.div_f64(percent));
+        let still = now.saturating_sub(self.advanced);
+        !self.estimate.is_zero() && still > STILL_TIME.max(pace.mul_f64(STILL_PERCENTS))
+    }
+}
--- a/crates/core/src/pool/driver/owners.rs
+++ b/crates/core/src/pool/driver/owners.rs
@@ -175,6 +175,7 @@
         let much = info
             .as_ref()
             .map_or(0, |info| info.capacity.cpu_milli / MUCH_ROOM);
+        let pace = self.pace(now);
         let mut at_once = TELL_AT_ONCE;
         let count = self.entries.len();
         for i in 0..count {
@@ -194,7 +195,7 @@
                 open,
                 free,
                 queued,
-                pace: self.pace,
+                pace,
                 failing: self.failing,
             };
             let news = entry.news(&room, much);
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -5,7 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::Uptime;
-use super::job::{Resources, RunId, Step};
+use super::job::{Resources, Step};
 use super::msg::{Room, WorkerInfo};
 use crate::ids::Name;
 
@@ -17,11 +17,15 @@
 const EJECT_TIMES_PEERS: f32 = 3.0;
 /// At most this share of a pool's workers is ejected.
 const MAX_EJECTED_SHARE: f64 = 0.34;
+/// Time for which a worker is left alone after a refusal that was not for its room; doubles with
+/// each in a row.
+const FIRST_AVOID: Duration = Duration::from_millis(20);
+const MAX_AVOID: Duration = Duration::from_secs(1);
 /// Time until an ejected worker is tried with one run; doubles with each return to ejection.
 const FIRST_EJECTION: Duration = Duration::from_secs(1);
-const MAX_EJECTION: Duration = Duration::from_secs(8);
-/// What was learned of a worker's speed counts half after this time without news of it.
-const PACE_HALF_LIFE: Duration = Duration::from_secs(2);
+const MAX_EJECTION: Duration = Duration::from_secs(3);
+/// How much a worker that fails everything counts as slower than one that fails nothing.
+const FAILING_WEIGHT: f64 = 2.0;
 /// How much a full worker counts as slower than an empty one: beside nearly full fast workers, a
 /// slow one is taken for tasks that still end in time there, which leaves the fast ones to others.
 const FULL_WEIGHT: f64 = 1.2;
@@ -54,8 +58,12 @@
     pub runs: u32,
     ejected_until: Option<Uptime>,
     ejection: Duration,
-    /// Whether the entry left it alone after a refusal, until the next report.
+    /// Whether it had no room for a start; until the next report.
     refused: bool,
+    /// Refusals for other reasons in a row.
+    refusals: u32,
+    /// It gets nothing before this time after such a refusal.
+    avoid_until: Uptime,
 }
 
 impl Worker {
@@ -65,8 +73,9 @@
         unseen.fold(self.room.free, |free, (_, needs)| free.minus(*needs))
     }
 
-    fn takes(&self) -> bool {
-        self.down_since.is_none() && self.room.open && !self.refused && self.info.is_some()
+    fn takes(&self, now: Uptime) -> bool {
+        let left_alone = self.refused || now < self.avoid_until;
+        self.down_since.is_none() && self.room.open && !left_alone && self.info.is_some()
     }
 
     fn serves(&self, pool: &Name) -> bool {
@@ -116,8 +125,8 @@
     }
 
     /// Whether any worker may be sent runs.
-    pub fn any_open(&self) -> bool {
-        self.workers.values().any(Worker::takes)
+    pub fn any_open(&self, now: Uptime) -> bool {
+        self.workers.values().any(|worker| worker.takes(now))
     }
 
     /// An agent's link is up; its starts count anew.
@@ -133,6 +142,8 @@
             ejected_until: None,
             ejection: FIRST_EJECTION,
             refused: false,
+            refusals: 0,
+            avoid_until: now,
         });
         worker.down_since = None;
         worker.sent = 0;
@@ -225,8 +236,8 @@
 
     /// Free room over a pool's workers in thousandths of a core: work in core-milliseconds that it
     /// could take on each second.
-    pub fn free_cpu(&self, pool: &Name) -> f64 {
-        let takes = self.peers(pool).filter(|(_, worker)| worker.takes());
+    pub fn free_cpu(&self, now: Uptime, pool: &Name) -> f64 {
+        let takes = self.peers(pool).filter(|(_, worker)| worker.takes(now));
         takes
             .map(|(_, worker)| f64::from(worker.free().cpu_milli))
             .sum()
@@ -248,19 +259,16 @@
     }
 
     /// Run time over estimate that is expected of a worker, against the median of its pool.
-    fn slowdown(now: Uptime, worker: &Worker, median_pace: f64) -> f64 {
-        let away = f64::from(worker.room.pace) - median_pace;
-        let age = now.saturating_sub(worker.reported).as_secs_f64();
-        let weight = 0.5_f64.powf(age / PACE_HALF_LIFE.as_secs_f64());
-        (away * weight).exp()
+    fn slowdown(worker: &Worker, median_pace: f64) -> f64 {
+        (f64::from(worker.room.pace) - median_pace).exp()
     }
 
     /// How much longer tasks run on a worker than on the median one of its pool.
-    pub fn slowdown_of(&self, now: Uptime, name: &Name, pool: &Name) -> f64 {
+    pub fn slowdown_of(&self, name: &Name, pool: &Name) -> f64 {
         let median_pace = self.median_pace(pool);
         self.workers
             .get(name)
-            .map_or(1.0, |worker| Self::slowdown(now, worker, median_pace))
+            .map_or(1.0, |worker| Self::slowdown(worker, median_pace))
     }
 
     /// The median pace of a pool's workers, as of the last refresh.
@@ -339,7 +347,7 @@
         let mut best: Option<(f64, Choice)> = None;
         let all = self.workers.len();
         let range = (first..first + count).filter_map(|i| self.workers.get_index(i % all));
-        for (name, worker) in range.filter(|(_, w)| w.takes()) {
+        for (name, worker) in range.filter(|(_, w)| w.takes(now)) {
             let free = worker.free();
             let labelled = step.label.as_ref().is_none_or(|l| worker.has_label(l));
             if !worker.serves(pool) || !step.needs.fits(free) || !labelled || !allowed(name) {
@@ -348,7 +356,7 @@
             if !Self::may_try(now, worker) {
                 continue;
             }
-            let mut factor = Self::slowdown(now, worker, median_pace);
+            let mut factor = Self::slowdown(worker, median_pace);
             if step
                 .rack
                 .as_ref()
@@ -367,6 +375,7 @@
             if in_time.is_some_and(|time| expected > time.mul_f64(IN_TIME_SHARE)) {
                 continue;
             }
+            factor *= 1.0 + FAILING_WEIGHT * f64::from(worker.room.failing);
             let score = factor * (1.0 + FULL_WEIGHT * taken * taken) * (1.0 + JITTER * rng.f64());
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 let choice = Choice {
@@ -411,13 +420,34 @@
         }
     }
 
-    /// A start was refused: the worker gets nothing more before its next report.
-    pub fn refused(&mut self, name: &Name, _run: RunId) {
+    /// A start found no room: the worker gets nothing more before its next report.
+    pub fn no_room(&mut self, name: &Name) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.refused = true;
         }
     }
 
+    /// A start was refused for another reason. A worker that refuses looks empty and would draw all
+    /// work again and again, so it is left alone for a time that grows until it completes a run.
+    pub fn refused(&mut self, now: Uptime, name: &Name) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            let pause = FIRST_AVOID * 2_u32.saturating_pow(worker.refusals.min(8));
+            worker.avoid_until = now + pause.min(MAX_AVOID);
+            worker.refusals += 1;
+        }
+    }
+
+    /// A run was completed there. An ejected worker is tried again at once.
+    pub fn completed(&mut self, now: Uptime, name: &Name) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.refusals = 0;
+            if worker.ejected_until.is_some() {
+                worker.ejected_until = Some(now);
+                worker.ejection = FIRST_EJECTION;
+            }
+        }
+    }
+
     /// Ejected workers.
     pub fn ejected(&self) -> usize {
         let ejected = |worker: &&Worker| worker.ejected_until.is_some();
--- a/crates/core/src/pool/scheduler/load.rs
+++ b/crates/core/src/pool/scheduler/load.rs
@@ -94,7 +94,7 @@
             let (Some(load), Some(backlog)) = (self.loads.get(pool), backlogs.get(pool)) else {
                 continue;
             };
-            let rate = load.rate().max(self.fleet.free_cpu(pool));
+            let rate = load.rate().max(self.fleet.free_cpu(now, pool));
             let clears = |work: f64| Duration::from_secs_f64(work / rate);
             let tier = if self.is_late(now, job) && job.starts > 0 && now < job.worthless() {
                 Tier::Begun
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -96,9 +96,8 @@
         out: &mut Vec<Action>,
     ) {
         match reason {
-            NotStarted::NoWorker | NotStarted::NoRoom | NotStarted::Unhealthy => {
-                self.fleet.refused(name, run);
-            }
+            NotStarted::NoRoom => self.fleet.no_room(name),
+            NotStarted::NoWorker | NotStarted::Unhealthy => self.fleet.refused(now, name),
             NotStarted::OldAttempt => {
                 if let Some(job) = self.jobs.get_mut(&run.task.job) {
                     for task in &mut job.tasks {
@@ -162,6 +161,9 @@
             return;
         }
         self.fleet.over(name);
+        if end == RunEnd::Done {
+            self.fleet.completed(now, name);
+        }
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -245,8 +247,8 @@
         // A long task on a sound worker would be as long elsewhere: only the difference in speed
         // counts.
         let worthwhile = |left: u32| {
-            let here = self.fleet.slowdown_of(now, name, pool);
-            let there = self.fleet.slowdown_of(now, &choice.worker, pool);
+            let here = self.fleet.slowdown_of(name, pool);
+            let there = self.fleet.slowdown_of(&choice.worker, pool);
             let total = f64::from(ran_ms + left) / here * there;
             let fresh = Duration::from_secs_f64(total / 1000.0).mul_f64(MOVE_FACTOR) + MOVE_GAIN;
             Duration::from_millis(left.into()) > fresh
--- a/crates/core/tests/pool_scheduler.rs
+++ b/crates/core/tests/pool_scheduler.rs
@@ -426,6 +426,30 @@
     assert!(bench.stops().is_empty());
 }
 
+#[test]
+fn a_worker_that_refuses_is_left_alone_for_longer_and_longer() {
+    let mut bench = Bench::new(&["a0"]);
+    bench.submit(job(1, 1, cpu(1000)), 7);
+    let mut pauses = Vec::new();
+    for _ in 0..5 {
+        let run = bench.starts().pop().expect("the task is tried").1.run;
+        bench.take();
+        let reason = NotStarted::Unhealthy;
+        bench.from("a0", ToEntry::Refused { run, reason });
+        bench.room("a0", 100, 4000);
+        let begin = bench.now;
+        while bench.starts().is_empty() {
+            bench.pass(10 * MS);
+            assert!(bench.now < begin + Duration::from_secs(2), "{pauses:?}");
+        }
+        pauses.push((bench.now.as_millis() - begin.as_millis()) as u64);
+    }
+    assert!(
+        pauses.is_sorted() && pauses[4] >= 4 * pauses[0],
+        "{pauses:?}"
+    );
+}
+
 #[test]
 fn a_worker_that_fails_everything_is_left_alone() {
     let mut bench = Bench::new(&["a0", "a1", "a2"]);
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -357,7 +357,8 @@
             } else {
                 IDLE_TICK
             };
-        let ready = self.queues.is_some() && self.core.fleet().any_open() && self.leaving.is_none();
+        let ready =
+            self.queues.is_some() && self.core.fleet().any_open(now) && self.leaving.is_none();
         if ready != self.ready {
             log::info!(ready = ready, version = self.version; "readiness changed");
             self.ready = ready;
