Late work is refused sooner

Change: a late job that found no room is refused once 100 ms of work is before it, or after a fifth of its caller's time (250 ms and 35% before).

--- a/crates/core/src/pool/scheduler/load.rs
+++ b/crates/core/src/pool/scheduler/load.rs
@@ -18,9 +18,9 @@
 /// A task is expected to miss its aim if this many times its expected run time do not fit.
 const RUN_MARGIN: f64 = 1.15;
 /// Late jobs are refused at once while those before them take longer than this to clear.
-const LATE_BACKLOG: Duration = Duration::from_millis(250);
+const LATE_BACKLOG: Duration = Duration::from_millis(100);
 /// A late job that was not started is refused after this share of the time that its caller waits.
-const LATE_SHARE: f64 = 0.35;
+const LATE_SHARE: f64 = 0.20;
 /// Callers have little use of an answer after this many times the time to the aim.
 const USEFUL_AIMS: f64 = 3.0;
 /// Time between two rankings of all waiting jobs.
