--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -547,7 +547,8 @@
     ) {
         self.unanswered += 1;
         self.lost_call = Some(now);
-        let quiet = now.saturating_sub(self.last_answer) >= SILENT_TIME;
+        // A connection that is refused says at once that nobody is there.
+        let quiet = not_sent || now.saturating_sub(self.last_answer) >= SILENT_TIME;
         if !self.silent && self.unanswered >= SILENT_AFTER && quiet {
             self.silent = true;
             self.next_look = now + SILENT_LOOK / 3;
--- a/crates/core/tests/pool_driver.rs
+++ b/crates/core/tests/pool_driver.rs
@@ -384,6 +384,19 @@
     assert_eq!(bench.refusal(run(2, 1)), Some(NotStarted::NoWorker));
 }
 
+#[test]
+fn a_worker_that_takes_no_connections_is_not_called_in_a_loop() {
+    let mut bench = Bench::new();
+    bench.running(run(1, 1), 1000);
+    let mut calls = 0;
+    while let Some((id, _)) = bench.call(|_| true) {
+        bench.take();
+        calls += 1;
+        assert!(calls < 10, "called again and again");
+        bench.answer(id, Reply::NotSent);
+    }
+}
+
 #[test]
 fn the_lease_is_not_renewed_for_a_silent_worker() {
     let mut bench = Bench::new();
