--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -280,7 +280,6 @@
     loads: IndexMap<Name, PoolLoad>,
     next_rank: Uptime,
     seen: Uptime,
-    draining: bool,
     rng: Rng,
 }
 
@@ -300,7 +299,6 @@
             loads: IndexMap::new(),
             next_rank: now,
             seen: now,
-            draining: false,
             rng,
         }
     }
@@ -326,11 +324,6 @@
         self.jobs.contains_key(&job)
     }
 
-    /// The process is ending; what was accepted goes on.
-    pub fn drain(&mut self) {
-        self.draining = true;
-    }
-
     /// Notes the time before anything else is handed on. After a long stand-still the agents may
     /// have stopped this entry's runs and other entries may have taken its jobs over, so that all
     /// of them are broken off.
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -194,6 +194,11 @@
         self.next_tick.saturating_sub(clock::uptime())
     }
 
+    /// Whether the time is over in which callers may still come.
+    fn has_drained(&self, now: Uptime) -> bool {
+        self.leaving.is_some_and(|since| now >= since + DRAIN_TIME)
+    }
+
     fn is_over(&self, now: Uptime) -> bool {
         let Some(since) = self.leaving else {
             return false;
@@ -218,7 +223,7 @@
                 log::info!(open_jobs = self.core.open_jobs(); "entry draining");
                 self.leaving = Some(now);
                 self.cluster.set_leaving();
-                self.core.drain();
+                self.net.last_requests();
             }
             Outside::Reload => self.next_reload = now,
         }
@@ -307,6 +312,14 @@
             self.net.respond(conn, &response);
             return;
         };
+        if self.leaving.is_some_and(|since| now >= since + DRAIN_TIME) {
+            log::info!(path = req.path, status = 503; "request refused: the entry is ending");
+            let response = self
+                .port
+                .refuse(503, "this entry is ending; ask another one now");
+            self.net.respond(conn, &response);
+            return;
+        }
         let response = match self.port.read(req, queues) {
             CallerCall::Submit {
                 job,
@@ -363,9 +376,10 @@
             log::info!(ready = ready, version = self.version; "readiness changed");
             self.ready = ready;
         }
-        if let Some(since) = self.leaving
-            && now >= since + DRAIN_TIME
-        {
+        if self.has_drained(now) {
+            // The balancer may go on sending callers here if too few others are ready.
+            self.net.stop_listening(CALLERS);
+            self.net.last_requests();
             self.net.close_idle();
         }
         if now >= self.next_reload {
--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -216,15 +216,29 @@
         }
     }
 
-    /// Ends HTTP connections that wait for a request; others end after their answer.
-    pub fn close_idle(&mut self) {
-        let mut idle = Vec::new();
-        for (id, conn) in &mut self.conns {
+    /// Each HTTP connection ends after its next answer, as the answer says.
+    pub fn last_requests(&mut self) {
+        for conn in self.conns.values_mut() {
             conn.last_request();
-            if conn.is_idle_http() {
-                idle.push(*id);
-            }
         }
+    }
+
+    /// Accepts no more HTTP connections of this mark.
+    pub fn stop_listening(&mut self, mark: u8) {
+        let poll = &self.poll;
+        self.listeners.retain(|_, (listener, accepts)| {
+            let ends = *accepts == Accepts::Http(mark);
+            if ends && let Err(e) = poll.registry().deregister(listener) {
+                log::warn!(step = "stop listening", error:% = e; "listener not taken off");
+            }
+            !ends
+        });
+    }
+
+    /// Ends HTTP connections that wait for a request.
+    pub fn close_idle(&mut self) {
+        let idle = self.conns.iter().filter(|(_, conn)| conn.is_idle_http());
+        let idle: Vec<ConnId> = idle.map(|(id, _)| *id).collect();
         for id in idle {
             self.close(id);
         }
