--- a/crates/agent/src/pooled.rs
+++ b/crates/agent/src/pooled.rs
@@ -10,14 +10,14 @@
 
 use rw_core::ids::Name;
 use rw_core::members::Member;
-use rw_core::msg::{Ask, Msg, Role, Told};
+use rw_core::msg::{Msg, Role};
 use rw_core::pool::Uptime;
 use rw_core::pool::driver::{Action, Beat, BeatVerdict, Call, Driver, Reply};
 use rw_core::pool::msg::PoolMsg;
 use rw_host::cluster::{Cluster, ClusterEvent};
 use rw_host::net::{Accepts, ConnId, HttpRequest, HttpResponse, Net, NetEvent};
 use rw_host::peers::Peers;
-use rw_host::pooled::{METRICS, Outside, Started, metrics_response, start};
+use rw_host::pooled::{METRICS, Outside, Reloaded, Started, answer_ask, metrics_response, start};
 use rw_host::settings::NodeSettings;
 use rw_host::{clock, logging};
 use thiserror::Error;
@@ -58,13 +58,6 @@
     fn reply(&self, call: &Call, response: &HttpResponse) -> (Reply, Option<u64>);
 }
 
-/// Settings of the daemon that may change while it runs.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Reloaded {
-    /// Addresses through which unknown members are found.
-    pub seeds: Vec<SocketAddr>,
-}
-
 /// How the daemon starts.
 pub struct AgentSetup {
     /// The node.
@@ -234,10 +227,7 @@
 
     fn on_msg(&mut self, now: Uptime, conn: ConnId, msg: Msg, out: &mut Vec<Action>) {
         if let Msg::Ask(ask) = msg {
-            let told = match ask {
-                Ask::Sync { revision } => self.cluster.told(revision),
-                Ask::Seal { .. } => Told::Unable,
-            };
+            let told = answer_ask(&self.cluster, &ask);
             self.net.send(now, conn, &Msg::Told(told));
             return;
         }
--- a/crates/host/src/pooled.rs
+++ b/crates/host/src/pooled.rs
@@ -7,7 +7,7 @@
 use flume::{Receiver, Sender};
 use mio::Waker;
 use rw_core::codec::ClusterKey;
-use rw_core::msg::Role;
+use rw_core::msg::{Ask, Role, Told};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -23,6 +23,13 @@
 /// The mark of the listener for metrics.
 pub const METRICS: u8 = 255;
 
+/// Settings of the daemon that may change while it runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reloaded {
+    /// Addresses through which unknown members are found.
+    pub seeds: Vec<SocketAddr>,
+}
+
 /// What other threads tell the main one.
 #[derive(Debug)]
 pub enum Outside {
@@ -104,6 +111,14 @@
     Ok(())
 }
 
+/// Answers a question of another process.
+pub fn answer_ask(cluster: &Cluster, ask: &Ask) -> Told {
+    match ask {
+        Ask::Sync { revision } => cluster.told(*revision),
+        Ask::Seal { .. } => Told::Unable,
+    }
+}
+
 /// All metrics as a response.
 pub fn metrics_response() -> HttpResponse {
     HttpResponse::with_body(
