A backlog is counted against an entry's part of the offered slots

The expected wait divided the backlog by the slots in hand, and an entry has one or two of them for the milliseconds in which credits move to it: 45 s for 150 tasks where 24 slots were offered, against a deadline of 20 s. Change: the wait counts at least the entry's part of the offered slots.

--- a/crates/core/src/dispatcher/admit.rs
+++ b/crates/core/src/dispatcher/admit.rs
@@ -268,12 +268,16 @@
         Err(Failure::not_run(FailureKind::Overloaded, detail).retry_after(seconds))
     }
 
-    /// Time until a task that is queued now starts, with the slots in hand.
+    /// Time until a task that is queued now starts, with the slots in hand or this entry's part of
+    /// those that are offered: credits move toward a backlog within milliseconds, so having few of
+    /// them just now says little.
     fn expected_wait(&self, service: &Name, class: Class) -> Duration {
         let Some(queue) = self.queues.get(service) else {
             return Duration::ZERO;
         };
-        let slots = self.fleet.in_hand(service);
+        let entries = self.other_entries().len() as u32 + 1;
+        let part = self.fleet.offered(service) / entries;
+        let slots = self.fleet.in_hand(service).max(part);
         if slots == 0 {
             return Duration::ZERO;
         }
--- a/crates/core/tests/refusal.rs
+++ b/crates/core/tests/refusal.rs
@@ -88,6 +88,37 @@
     assert_eq!(answers(&out), 0, "{out:?}");
 }
 
+#[test]
+fn a_backlog_is_counted_against_the_share_of_the_slots_not_the_few_in_hand() {
+    let now = Now {
+        mono: Instant::now(),
+        wall: WallMs(1_700_000_000_000),
+    };
+    let mut core = entry(now);
+    let mut out = Vec::new();
+    core.agent_up(now, node("w"), &mut out);
+    let offer = Offer {
+        epoch: 1,
+        services: vec!["s".into()],
+        slots: 24,
+        size: Needs::default(),
+        leaving: false,
+    };
+    core.on_agent(now, &"w".into(), ToEntry::Offer(offer), &mut out);
+    let grant = ToEntry::Grant {
+        credits: 1,
+        epoch: 1,
+    };
+    core.on_agent(now, &"w".into(), grant, &mut out);
+    // 150 tasks of 300 ms take 45 s on the one slot in hand, and 2 s on the slots that are offered.
+    for i in 0..15 {
+        let mut spec = job(now, 10);
+        spec.key = JobKey::new(now.wall, 100 + i);
+        core.submit(now, spec, 1, &mut out);
+    }
+    assert_eq!(answers(&out), 0, "{out:?}");
+}
+
 #[test]
 fn a_job_waits_while_no_worker_is_linked_yet() {
     let now = Now {
