A leaving agent ends only when no start can be on its way

A reading of the agent showed one way to that end: after SIGTERM it ended as soon as nothing ran, and handled no message in its last 300 ms. A start sent against a credit that was granted before is then neither refused nor run, and its entry stays in doubt until the deadline. Change: entries confirm the offer of a leaving agent; a link keeps its order, so no earlier start follows. The agent ends when nothing runs and each linked entry confirmed or lost its link (4 s of silence at most).

--- a/crates/agent/src/duty.rs
+++ b/crates/agent/src/duty.rs
@@ -171,7 +171,7 @@
             for action in out.drain(..) {
                 self.act(action);
             }
-            if self.leaving && self.core.is_idle() {
+            if self.core.has_left() {
                 std::thread::sleep(FLUSH_TIME);
                 log::info!("agent ended");
                 return;
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::config::ClusterState;
 use crate::fence::{Fence, TaskMemory};
@@ -80,7 +80,10 @@
     cluster: Arc<ClusterState>,
     epoch: u64,
     offered: Option<Offer>,
-    leaving: bool,
+    /// The epoch since which nothing is offered, once the agent leaves.
+    left_at: Option<u64>,
+    /// Linked entries that have not confirmed that the agent leaves; they may still send starts.
+    unaware: IndexSet<Name>,
     seen: Instant,
     expire_at: Instant,
     links: Vec<Name>,
@@ -101,7 +104,8 @@
             cluster: Arc::default(),
             epoch: 1,
             offered: None,
-            leaving: false,
+            left_at: None,
+            unaware: IndexSet::new(),
             seen: now,
             expire_at: now + EXPIRE_EVERY,
             links: Vec::new(),
@@ -177,10 +181,16 @@
 
     /// The agent itself leaves.
     pub fn leave(&mut self, out: &mut Vec<Action>) {
-        self.leaving = true;
+        self.left_at.get_or_insert(self.epoch + 1);
+        self.unaware = self.links.iter().cloned().collect();
         self.void_credits(out);
     }
 
+    /// Whether the agent leaves, nothing runs, and no start can be on its way any more.
+    pub fn has_left(&self) -> bool {
+        self.left_at.is_some() && self.is_idle() && self.unaware.is_empty()
+    }
+
     /// Follows a new configuration.
     pub fn on_config(&mut self, cluster: Arc<ClusterState>, out: &mut Vec<Action>) {
         if cluster.revision <= self.cluster.revision {
@@ -231,7 +241,7 @@
 
     /// What is offered now, with the credit epoch.
     pub fn offer(&self) -> Offer {
-        let gone = self.leaving || self.cluster.drained.contains_key(&self.me.name);
+        let gone = self.left_at.is_some() || self.cluster.drained.contains_key(&self.me.name);
         let mut offer = Offer {
             epoch: self.epoch,
             services: Vec::new(),
@@ -259,6 +269,9 @@
         if !self.links.contains(entry) {
             self.links.push(entry.clone());
         }
+        if self.left_at.is_some() {
+            self.unaware.insert(entry.clone());
+        }
         self.grants.link(entry);
         out.push(Action::Send(entry.clone(), ToEntry::Offer(self.offer())));
         self.move_credits(out);
@@ -267,6 +280,7 @@
     /// An entry's link is lost.
     pub fn link_down(&mut self, entry: &Name, out: &mut Vec<Action>) {
         self.links.retain(|link| link != entry);
+        self.unaware.swap_remove(entry);
         self.grants.unlink(entry);
         self.move_credits(out);
     }
@@ -290,6 +304,11 @@
                     self.grants.want(entry, backlog);
                 }
             }
+            ToAgent::OfferSeen { epoch } => {
+                if self.left_at.is_some_and(|left_at| epoch >= left_at) {
+                    self.unaware.swap_remove(entry);
+                }
+            }
             ToAgent::Query { tasks } => {
                 for task in tasks {
                     let known = self.fence.query(task);
--- a/crates/core/src/dispatcher/links.rs
+++ b/crates/core/src/dispatcher/links.rs
@@ -6,7 +6,7 @@
 use crate::fleet::Sent;
 use crate::ids::{Digest, Name, NodeRef};
 use crate::members::Member;
-use crate::msg::{RefusalReason, TaskRef, TaskResult, ToAgent, ToEntry};
+use crate::msg::{Offer, RefusalReason, TaskRef, TaskResult, ToAgent, ToEntry};
 
 use super::{Action, Declared, Dispatcher, MAX_TRIES, Note, Now, Phase, RunTimes, TaskState};
 
@@ -74,7 +74,7 @@
     pub fn on_agent(&mut self, now: Now, from: &Name, msg: ToEntry, out: &mut Vec<Action>) {
         self.heard(now, from);
         match msg {
-            ToEntry::Offer(offer) => self.fleet.on_offer(from, offer),
+            ToEntry::Offer(offer) => self.on_offer(from, offer, out),
             ToEntry::Grant { credits, epoch } => self.fleet.grant(from, credits, epoch),
             ToEntry::Recall { credits } => self.on_recall(now, from, credits, out),
             ToEntry::Running { .. } => {}
@@ -116,6 +116,15 @@
         self.pump(now, out);
     }
 
+    /// Takes in an offer. A leaving agent is told, since it ends when no start can follow.
+    fn on_offer(&mut self, from: &Name, offer: Offer, out: &mut Vec<Action>) {
+        let Offer { epoch, leaving, .. } = offer;
+        self.fleet.on_offer(from, offer);
+        if leaving {
+            out.push(Action::Send(from.clone(), ToAgent::OfferSeen { epoch }));
+        }
+    }
+
     /// Notes that an agent is alive.
     pub fn heard(&mut self, now: Now, from: &Name) {
         if let Some(worker) = self.fleet.get_mut(from) {
--- a/crates/core/src/msg.rs
+++ b/crates/core/src/msg.rs
@@ -82,6 +82,11 @@
         /// Credits of that account that are still held; more are not outstanding.
         held: u32,
     },
+    /// The offer of a leaving agent was taken in: no start against an earlier one follows.
+    OfferSeen {
+        /// The offer's epoch.
+        epoch: u64,
+    },
     /// Asks what became of dispatches after the link was lost. What never started is barred.
     Query {
         /// The dispatches.
@@ -380,6 +385,7 @@
             Self::ToAgent(ToAgent::Start(_)) => "start",
             Self::ToAgent(ToAgent::Want { .. }) => "want",
             Self::ToAgent(ToAgent::Return { .. }) => "return",
+            Self::ToAgent(ToAgent::OfferSeen { .. }) => "offer-seen",
             Self::ToAgent(ToAgent::Query { .. }) => "query",
             Self::ToAgent(ToAgent::Collect { .. }) => "collect",
             Self::ToAgent(ToAgent::Claim(_)) => "claim",
