A cluster that starts as a whole elects a leader at once

A server that started stood after 300 to 600 ms only, and voted after 300 ms, where the lease that it may have forgotten is 250 ms. Change: the lease is 170 ms (two heartbeats and a round trip), a started server votes after it, and asks for pre-votes every 40 to 80 ms until it heard a leader, for 2 s at most. A pre-vote changes nothing where a leader is heard, and writes no record; a candidate keeps the longer time, as votes are written to disk.

--- a/crates/core/src/raft.rs
+++ b/crates/core/src/raft.rs
@@ -26,8 +26,15 @@
 pub const ELECTION_MIN: Duration = Duration::from_millis(300);
 /// A server that heard nothing for up to this time stands for election.
 pub const ELECTION_MAX: Duration = Duration::from_millis(600);
-/// A leader whose heartbeats a majority acknowledged within this time is the only one.
-pub const LEASE: Duration = Duration::from_millis(250);
+/// A leader whose heartbeats a majority acknowledged within this time is the only one: two heartbeats
+/// and a round trip. A server that starts may have forgotten that it acknowledged one, and does not
+/// vote for as long.
+pub const LEASE: Duration = Duration::from_millis(170);
+/// A server that has heard no leader since it started asks again for pre-votes after this time, and
+/// up to twice of it: a few round trips, as no record is written for a pre-vote.
+const FIRST_PRE_VOTE: Duration = Duration::from_millis(40);
+/// It does so for this long: all servers of a cluster start within it after a loss of power.
+const EAGER_TIME: Duration = Duration::from_secs(2);
 /// Entries on one message.
 pub const MAX_BATCH: usize = 256;
 /// Applied entries that are kept before a snapshot replaces them.
@@ -231,6 +238,8 @@
     compact_after: usize,
     /// A restarted server forgot which leader it heard, so it votes for none at first.
     votes_from: Instant,
+    /// Until then it asks for pre-votes at short intervals, unless it heard a leader.
+    eager_until: Instant,
     rng: Rng,
 }
 
@@ -262,7 +271,8 @@
             rounds: VecDeque::new(),
             current: false,
             compact_after: COMPACT_AFTER,
-            votes_from: now + ELECTION_MIN,
+            votes_from: now + LEASE,
+            eager_until: now + EAGER_TIME,
             rng,
         };
         for record in records {
@@ -272,7 +282,7 @@
         raft.applied = raft.base.index;
         raft.state = raft.base.state.clone();
         raft.voters = raft.voters_in_log();
-        raft.reset_election(now);
+        raft.expect_pre_vote(now + LEASE);
         raft
     }
 
--- a/crates/core/src/raft/election.rs
+++ b/crates/core/src/raft/election.rs
@@ -1,8 +1,8 @@
 //! Elections: timeouts, pre-votes, votes, and the leader's lease.
 
 use super::{
-    Body, Command, Duration, ELECTION_MAX, ELECTION_MIN, Effects, Instant, Raft, Record, Standing,
-    VoterId,
+    Body, Command, Duration, ELECTION_MAX, ELECTION_MIN, Effects, FIRST_PRE_VOTE, Instant, Raft,
+    Record, Standing, VoterId,
 };
 
 impl Raft {
@@ -26,6 +26,17 @@
         self.election_at = now + ELECTION_MIN + Duration::from_millis(self.rng.u64(0..=spread));
     }
 
+    /// Sets when pre-votes are asked for: soon after a start, so that a cluster that was lost as a
+    /// whole has a leader again at once. A pre-vote changes nothing at servers that have a leader.
+    pub(super) fn expect_pre_vote(&mut self, now: Instant) {
+        if self.leader_heard.is_some() || now >= self.eager_until {
+            self.reset_election(now);
+            return;
+        }
+        let spread = FIRST_PRE_VOTE.as_millis() as u64;
+        self.election_at = now + FIRST_PRE_VOTE + Duration::from_millis(self.rng.u64(0..=spread));
+    }
+
     pub(super) fn save_vote(&self, fx: &mut Effects) {
         fx.records.push(Record::Vote {
             term: self.term,
@@ -47,10 +58,11 @@
 
     pub(super) fn on_election_timeout(&mut self, now: Instant, fx: &mut Effects) {
         self.leader = None;
-        self.reset_election(now);
         if self.is_voter() {
+            self.expect_pre_vote(now);
             self.stand(now, true, fx);
         } else {
+            self.reset_election(now);
             self.ask_to_join(fx);
         }
     }
@@ -61,6 +73,8 @@
         if pre {
             self.standing = Standing::PreCandidate;
         } else {
+            // Voters write their votes to disk first, which may take long.
+            self.reset_election(now);
             self.standing = Standing::Candidate;
             self.term += 1;
             self.voted_for = Some(self.me.clone());
--- a/crates/core/tests/raft_members.rs
+++ b/crates/core/tests/raft_members.rs
@@ -8,7 +8,7 @@
 use rw_core::config::{Change, ChangeRequest};
 use rw_core::ids::Name;
 use rw_core::pool::catalog::Catalog;
-use rw_core::raft::{Effects, Raft, RaftMsg, VoterId};
+use rw_core::raft::{Effects, LEASE, Raft, RaftMsg, VoterId};
 use uuid::Uuid;
 
 const TICK: Duration = Duration::from_millis(20);
@@ -126,6 +126,33 @@
     assert_eq!(net.voters(), ["a", "b", "c"]);
 }
 
+#[test]
+fn a_cluster_that_starts_as_a_whole_has_a_leader_at_once() {
+    for seed in 0..20 {
+        let mut net = Net::founded(&["a", "b", "c"]);
+        for (i, name) in ["a", "b", "c"].into_iter().enumerate() {
+            let records = Raft::founding_records(&voter(name), &["a", "b", "c"].map(voter));
+            let rng = Rng::with_seed(seed * 3 + i as u64);
+            let raft = Raft::new(voter(name), Vec::new(), records, net.now, rng);
+            net.servers.insert(name.into(), raft);
+            // The platform starts the machines of a cluster within 0.3 s of each other.
+            net.run(Duration::from_millis(100));
+        }
+        // A majority is up for 0.3 s then: no vote for the time of a lease, and a few round trips.
+        net.run(Duration::from_millis(200));
+        assert!(net.leader().is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_server_that_starts_gives_no_vote_before_the_lease_it_may_have_granted_is_over() {
+    let mut net = Net::founded(&["a", "b", "c"]);
+    net.lose("c");
+    net.run(LEASE);
+    assert!(net.leader().is_none());
+    assert!(net.servers.values().all(|raft| raft.position().0 == 1));
+}
+
 #[test]
 fn members_that_are_replaced_one_after_another_leave_no_dead_voter_behind() {
     let mut net = Net::founded(&["a", "b", "c"]);
