Entries introduce themselves; young processes keep pinging the seeds

Jobs met a third of the workers and were refused or late. Change: a process pings the seeds for its first 1.5 s; an entry pings each agent and entry it hears of, which then dials it. The new test fails without the change and passes with it.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -19,8 +19,14 @@
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two pings of a suspect.
 pub const SUSPECT_INTERVAL: Duration = Duration::from_millis(250);
-/// Time between two pings of the seeds while no other member is known.
+/// Time between two pings of the seeds while a process joins.
 pub const JOIN_INTERVAL: Duration = Duration::from_millis(100);
+/// A process pings the seeds for this long after its start, and for longer while it knows nobody:
+/// where all start at once, the machines of a cluster come within 0.3 s, and the first replies of a
+/// seed name few members.
+pub const JOIN_TIME: Duration = Duration::from_millis(1500);
+/// Members that an entry introduces itself to on one tick, so that many new ones cost no burst.
+const INTRODUCTIONS: usize = 16;
 /// Time until other members are asked to probe in our place.
 pub const DIRECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time that a suspect has to refute.
@@ -149,6 +155,10 @@
     relays: IndexMap<u64, (SocketAddr, u64, Instant)>,
     next_probe: Option<Instant>,
     next_join: Option<Instant>,
+    /// End of the time in which the seeds are pinged; set at the first tick.
+    join_until: Option<Instant>,
+    /// Agents and entries that may not have heard of this entry yet, and have to link to it.
+    introduce: Vec<SocketAddr>,
     generation: u64,
     rng: Rng,
 }
@@ -167,6 +177,8 @@
             relays: IndexMap::new(),
             next_probe: None,
             next_join: None,
+            join_until: None,
+            introduce: Vec::new(),
             generation: 1,
             rng,
         }
@@ -246,6 +258,7 @@
         self.relays
             .retain(|_, (_, _, sent)| now.duration_since(*sent) < PROBE_INTERVAL * 2);
         out.extend(self.join(now));
+        out.extend(self.introductions());
         out.extend(self.ask_suspects(now));
         if self.next_probe.is_none_or(|at| now >= at) {
             self.next_probe = Some(now + PROBE_INTERVAL);
@@ -306,6 +319,15 @@
         };
         if newer {
             self.generation += 1;
+            let links = matches!(member.role, Role::Agent | Role::Entry);
+            let alive = member.state == MemberState::Alive;
+            let unknown = self
+                .table
+                .get(&member.node.name)
+                .is_none_or(|known| known.member.node != member.node);
+            if self.me.role == Role::Entry && links && alive && unknown {
+                self.introduce.push(member.gossip);
+            }
             let known = Known {
                 member,
                 since: now,
@@ -448,11 +470,12 @@
             .collect()
     }
 
-    /// Pings all seeds while no other member is known, so that a cluster that starts at once joins
-    /// at once.
+    /// Pings all seeds while this process is young or knows no other member, so that a cluster that
+    /// starts at once joins at once.
     fn join(&mut self, now: Instant) -> Vec<Outgoing> {
-        let alone = self.living().next().is_none();
-        if !alone || self.next_join.is_some_and(|at| now < at) {
+        let young = now < *self.join_until.get_or_insert(now + JOIN_TIME);
+        let joining = young || self.living().next().is_none();
+        if !joining || self.next_join.is_some_and(|at| now < at) {
             return Vec::new();
         }
         self.next_join = Some(now + JOIN_INTERVAL);
@@ -461,6 +484,13 @@
         seeds.into_iter().map(|to| (to, self.ping(None))).collect()
     }
 
+    /// Pings members that this entry has just heard of: they dial it once they have its record.
+    fn introductions(&mut self) -> Vec<Outgoing> {
+        let rest = self.introduce.len().min(INTRODUCTIONS);
+        let new: Vec<SocketAddr> = self.introduce.drain(..rest).collect();
+        new.into_iter().map(|to| (to, self.ping(None))).collect()
+    }
+
     /// Pings one dead member or unknown seed, so that healed partitions join again.
     fn revive(&mut self) -> Vec<Outgoing> {
         let dead = |known: &&Known| known.member.state == MemberState::Dead;
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -6,11 +6,12 @@
 
 use fastrand::Rng;
 use rw_core::ids::NodeRef;
-use rw_core::members::{Gossip, Member, MemberState, Members, Outgoing};
+use rw_core::members::{Gossip, JOIN_INTERVAL, Member, MemberState, Members, Outgoing};
 use rw_core::msg::Role;
 
 const COUNT: u16 = 30;
 const TICK: Duration = Duration::from_millis(50);
+const LIST_EVERY: Duration = Duration::from_millis(200);
 
 struct Net {
     now: Instant,
@@ -21,6 +22,8 @@
     loss: u32,
     /// Nodes below this number hear nothing of the others.
     cut: u16,
+    /// When each node asks for a list again, as the adapter of a young process does; empty: never.
+    next_list: Vec<Instant>,
 }
 
 fn addr(i: u16) -> SocketAddr {
@@ -58,6 +61,7 @@
             rng: Rng::with_seed(seed),
             loss,
             cut: 0,
+            next_list: Vec::new(),
         };
         for i in 0..COUNT {
             net.nodes.push(None);
@@ -86,17 +90,35 @@
         let until = self.now + time;
         while self.now < until {
             self.now += TICK;
-            for i in 0..COUNT {
+            for i in 0..self.nodes.len() as u16 {
                 let now = self.now;
                 let out = self.nodes[i as usize].as_mut().map(|node| node.tick(now));
                 self.send(addr(i), out.unwrap_or_default());
+                self.deliver();
             }
-            while let Some((from, to, gossip)) = self.wire.pop_front() {
-                let now = self.now;
-                let node = self.nodes[(to.port() - 1000) as usize].as_mut();
-                let out = node.map(|node| node.on_gossip(now, from, gossip));
-                self.send(to, out.unwrap_or_default());
-            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some((from, to, gossip)) = self.wire.pop_front() {
+            let now = self.now;
+            let node = self.nodes[(to.port() - 1000) as usize].as_mut();
+            let out = node.map(|node| node.on_gossip(now, from, gossip));
+            self.send(to, out.unwrap_or_default());
+            self.fetch_list(to.port() - 1000, from.port() - 1000);
+        }
+    }
+
+    /// Who got a datagram asks its sender for its list.
+    fn fetch_list(&mut self, to: u16, from: u16) {
+        let due = self.next_list.get_mut(to as usize);
+        let Some(due) = due.filter(|due| self.now >= **due) else {
+            return;
+        };
+        *due = self.now + LIST_EVERY;
+        let list = self.nodes[from as usize].as_ref().map(Members::list);
+        if let (Some(list), Some(node)) = (list, &mut self.nodes[to as usize]) {
+            node.merge(self.now, list);
         }
     }
 
@@ -181,3 +203,31 @@
     );
     assert_eq!(net.nodes[4].as_ref().unwrap().revision(), 9);
 }
+
+#[test]
+fn a_cluster_that_starts_as_a_whole_knows_its_entries_at_once() {
+    const LARGE: u16 = 76;
+    let entries = 2..12;
+    let mut net = Net::new(0);
+    net.nodes.clear();
+    for i in 0..LARGE {
+        let mut me = member(i, 2);
+        if entries.contains(&i) {
+            me.role = Role::Entry;
+        }
+        let rng = Rng::with_seed(u64::from(i));
+        let node = Members::new(me, vec![addr(0), addr(1)], rng);
+        // The seeds come later than the others.
+        net.nodes.push((i >= 2).then_some(node));
+    }
+    net.next_list = vec![net.now; usize::from(LARGE)];
+    net.run(Duration::from_millis(300));
+    net.restart(0, 2);
+    net.restart(1, 2);
+    // One interval of pings, and a tick for what entries say of themselves then.
+    net.run(JOIN_INTERVAL + TICK);
+    for entry in entries {
+        let known = net.seen(entry, MemberState::Alive, 2);
+        assert_eq!(known, usize::from(LARGE), "of n{entry}");
+    }
+}
