Logs are written in pieces of 8 KiB, whole lines

A busy entry wrote up to 30 KiB together every 100 ms. Change: the sink writes whole lines in pieces of at most 8 KiB.

--- a/crates/host/src/logging.rs
+++ b/crates/host/src/logging.rs
@@ -10,7 +10,7 @@
 
 use crate::settings::{Level, LogSettings};
 
-pub use sink::flush;
+pub use sink::{WRITE_BYTES, flush, pieces};
 
 /// Sends logs where the settings say.
 pub fn init(settings: &LogSettings) {
--- a/crates/host/src/logging/sink.rs
+++ b/crates/host/src/logging/sink.rs
@@ -11,6 +11,9 @@
 
 /// Bytes that may wait to be written.
 const BUFFER_BYTES: usize = 256 * 1024;
+/// Bytes of one write, whole lines only: the operators' platform keeps 8,192 bytes of a write and drops
+/// the rest of it, as was seen in what it shows of a busy entry.
+pub const WRITE_BYTES: usize = 8 * 1024;
 /// Lines are written together after this time, so that the writer seldom wakes up.
 const WRITE_EVERY: Duration = Duration::from_millis(100);
 
@@ -76,11 +79,30 @@
                 "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"lines\":\"{dropped}\"}}"
             );
         }
-        // Standard output is the only place to tell of its own failure, so the error is dropped.
-        let _ = std::io::stdout().write_all(&bytes);
+        for piece in pieces(&bytes) {
+            // Standard output is the only place to tell of its own failure, so the error is dropped.
+            let _ = std::io::stdout().write_all(piece);
+        }
     }
 }
 
+/// Cuts text at ends of lines into pieces of at most [`WRITE_BYTES`]; a longer line is one piece.
+pub fn pieces(text: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = text;
+    std::iter::from_fn(move || {
+        let end = |part: &[u8]| part.iter().rposition(|b| *b == b'\n').map(|at| at + 1);
+        let first = || rest.iter().position(|b| *b == b'\n').map(|at| at + 1);
+        let len = match rest.len() {
+            0 => return None,
+            len if len <= WRITE_BYTES => len,
+            len => end(&rest[..WRITE_BYTES]).or_else(first).unwrap_or(len),
+        };
+        let (piece, after) = rest.split_at(len);
+        rest = after;
+        Some(piece)
+    })
+}
+
 impl Write for Sink {
     fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
         let mut buffer = self.0.buffer.lock().unwrap_or_else(PoisonError::into_inner);
