The log names the caller's request beside its job

With whole logs it still was not: who complains names the request (a header of each try), and the entry logged only the id of the job, which stays the same over tries. A job that came again while it was open, and one declined at once, had no line. Change: the line that takes a job in names the request; so do the refusals; joined and declined jobs have lines.

--- a/crates/core/src/pool/job.rs
+++ b/crates/core/src/pool/job.rs
@@ -119,6 +119,8 @@
 pub struct Job {
     /// Its id.
     pub id: JobId,
+    /// What the caller calls this request, for logs; a job that comes again has another one.
+    pub request: Name,
     /// Given to the worker with each task.
     pub payload: Arc<str>,
     /// Its steps.
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -213,10 +213,23 @@
             // The caller came back; the run under way is its answer.
             job.callers.push(caller);
             job.deadline = job.deadline.max(now + deadline);
+            let request = spec.request;
+            out.push(Action::Note(Note::Joined { job: id, request }));
             return;
         }
         if self.jobs.len() >= MAX_JOBS {
-            Self::refuse(caller, "too many jobs are open here", out);
+            let reason = "too many jobs are open here";
+            let retry_after = RETRY_AFTER;
+            Self::decline(
+                caller,
+                &spec,
+                Answer::NotRun {
+                    reason,
+                    retry_after,
+                },
+                reason,
+                out,
+            );
             return;
         }
         if spec
@@ -224,10 +237,8 @@
             .iter()
             .any(|step| !self.fleet.could_ever_run(&queue.pool, step))
         {
-            out.push(Action::Answer(
-                caller,
-                Answer::Failed("no worker could hold a task of it"),
-            ));
+            let reason = "no worker could hold a task of it";
+            Self::decline(caller, &spec, Answer::Failed(reason), reason, out);
             return;
         }
         let hold = self.hold_for(id, out);
@@ -238,6 +249,7 @@
         };
         out.push(Action::Note(Note::Accepted {
             job: id,
+            request: spec.request.clone(),
             queue: queue.name.clone(),
             tasks: spec.tasks(),
             aim: objective,
@@ -296,15 +308,19 @@
         Hold::None
     }
 
-    fn refuse(caller: u64, reason: &'static str, out: &mut Vec<Action>) {
-        let retry_after = RETRY_AFTER;
-        out.push(Action::Answer(
-            caller,
-            Answer::NotRun {
-                reason,
-                retry_after,
-            },
-        ));
+    fn decline(
+        caller: u64,
+        spec: &Job,
+        answer: Answer,
+        reason: &'static str,
+        out: &mut Vec<Action>,
+    ) {
+        out.push(Action::Answer(caller, answer));
+        out.push(Action::Note(Note::Declined {
+            job: spec.id,
+            request: spec.request.clone(),
+            reason,
+        }));
     }
 
     /// A caller's connection ended.
--- a/crates/core/src/pool/scheduler/note.rs
+++ b/crates/core/src/pool/scheduler/note.rs
@@ -60,6 +60,8 @@
     Accepted {
         /// The job.
         job: JobId,
+        /// The request that brought it.
+        request: Name,
         /// Its queue.
         queue: Name,
         /// Tasks.
@@ -71,6 +73,22 @@
         /// The entry that must yield it first.
         waits_for: Option<Name>,
     },
+    /// A job came again while it is open here.
+    Joined {
+        /// The job.
+        job: JobId,
+        /// The request that brought it again.
+        request: Name,
+    },
+    /// A job was not taken in.
+    Declined {
+        /// The job.
+        job: JobId,
+        /// The request that brought it.
+        request: Name,
+        /// Why.
+        reason: &'static str,
+    },
     /// Runs of a job were sent to workers.
     Placed {
         /// The job.
--- a/crates/core/tests/pool_scheduler.rs
+++ b/crates/core/tests/pool_scheduler.rs
@@ -8,7 +8,7 @@
 use rw_core::pool::catalog::Queue;
 use rw_core::pool::job::{Job, JobId, Resources, RunEnd, RunId, Step};
 use rw_core::pool::msg::{NotStarted, Peer, Room, Start, ToAgent, ToEntry, WorkerInfo};
-use rw_core::pool::scheduler::{Action, Answer, Scheduler};
+use rw_core::pool::scheduler::{Action, Answer, Note, Scheduler};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -58,6 +58,7 @@
     };
     Job {
         id: JobId(id),
+        request: format!("r{id}").into(),
         payload: "x".into(),
         steps: vec![step],
     }
@@ -465,3 +466,24 @@
     assert_eq!(bench.starts().len(), 8);
     assert!(bench.starts().iter().all(|(worker, _)| worker != "a0"));
 }
+
+#[test]
+fn a_request_is_named_in_a_note_whether_it_is_taken_in_joins_or_is_declined() {
+    let mut bench = Bench::new(&["a0"]);
+    bench.submit(job(1, 1, cpu(1000)), 7);
+    let mut again = job(1, 1, cpu(1000));
+    again.request = "again".into();
+    bench.submit(again, 8);
+    bench.submit(job(2, 1, cpu(9000)), 9);
+    let named: Vec<String> = bench
+        .out
+        .iter()
+        .filter_map(|action| match action {
+            Action::Note(Note::Accepted { request, .. }) => Some(format!("accepted {request}")),
+            Action::Note(Note::Joined { request, .. }) => Some(format!("joined {request}")),
+            Action::Note(Note::Declined { request, .. }) => Some(format!("declined {request}")),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(named, ["accepted r1", "joined again", "declined r2"]);
+}
--- a/crates/core/tests/support/pool.rs
+++ b/crates/core/tests/support/pool.rs
@@ -926,6 +926,7 @@
         };
         let job = Job {
             id,
+            request: "r".into(),
             payload: "x".into(),
             steps: vec![step],
         };
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -73,6 +73,8 @@
     fn cancelled(&self, known: bool) -> HttpResponse;
     /// Refuses, with a status and a reason.
     fn refuse(&self, status: u16, reason: &str) -> HttpResponse;
+    /// What the caller calls this request, for logs; empty if it has no name.
+    fn request_name<'a>(&self, req: &'a HttpRequest) -> &'a str;
     /// The path at which readiness is asked.
     fn readiness_path(&self) -> &'static str;
 }
@@ -296,14 +298,17 @@
     }
 
     fn on_caller(&mut self, now: Uptime, conn: ConnId, req: &HttpRequest, out: &mut Vec<Action>) {
+        let name = self.port.request_name(req);
         let Some(queues) = &self.queues else {
-            log::info!(path = req.path, status = 503; "request refused: no catalogue yet");
+            log::info!(path = req.path, request = name, status = 503;
+                "request refused: no catalogue yet");
             let response = self.port.refuse(503, "no catalogue is in force here yet");
             self.net.respond(conn, &response);
             return;
         };
         if self.leaving.is_some_and(|since| now >= since + DRAIN_TIME) {
-            log::info!(path = req.path, status = 503; "request refused: the entry is ending");
+            log::info!(path = req.path, request = name, status = 503;
+                "request refused: the entry is ending");
             let response = self
                 .port
                 .refuse(503, "this entry is ending; ask another one now");
@@ -324,11 +329,11 @@
             CallerCall::State(job) => self.port.state(self.core.holds(job)),
             CallerCall::Cancel(job) => {
                 let known = self.core.cancel(now, job, out);
-                log::info!(job:% = job, known = known; "cancel asked");
+                log::info!(job:% = job, request = name, known = known; "cancel asked");
                 self.port.cancelled(known)
             }
             CallerCall::Refuse(status, reason) => {
-                log::info!(path = req.path, host = req.header("host").unwrap_or_default(),
+                log::info!(path = req.path, request = name, host = req.header("host").unwrap_or_default(),
                     status = status, reason = reason, version = self.version; "request refused");
                 self.port.refuse(status, &reason)
             }
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -54,16 +54,27 @@
     match note {
         Note::Accepted {
             job,
+            request,
             queue,
             tasks,
             aim,
             deadline,
             waits_for,
         } => {
-            log::info!(job:% = job, queue:% = queue, tasks = tasks, aim_ms = ms(*aim),
+            log::info!(job:% = job, request:% = request, queue:% = queue, tasks = tasks, aim_ms = ms(*aim),
                 deadline_ms = ms(*deadline), version = version,
                 waits_for = waits_for.as_deref().unwrap_or(""); "job accepted");
         }
+        Note::Joined { job, request } => {
+            log::info!(job:% = job, request:% = request; "job came again while it is open");
+        }
+        Note::Declined {
+            job,
+            request,
+            reason,
+        } => {
+            log::info!(job:% = job, request:% = request, reason = reason; "job not taken in");
+        }
         Note::Placed { job, queue, runs } => {
             for placed in runs {
                 WAITS
