Two control nodes that stand together do not split the vote

Change: of servers that ask for pre-votes at the same time the one with the longer log, else the lower name, goes first; who grants a pre-vote soon after its start puts off its own.

--- a/crates/core/src/raft/election.rs
+++ b/crates/core/src/raft/election.rs
@@ -29,7 +29,7 @@
     /// Sets when pre-votes are asked for: soon after a start, so that a cluster that was lost as a
     /// whole has a leader again at once. A pre-vote changes nothing at servers that have a leader.
     pub(super) fn expect_pre_vote(&mut self, now: Instant) {
-        if self.leader_heard.is_some() || now >= self.eager_until {
+        if !self.is_eager(now) {
             self.reset_election(now);
             return;
         }
@@ -37,6 +37,18 @@
         self.election_at = now + FIRST_PRE_VOTE + Duration::from_millis(self.rng.u64(0..=spread));
     }
 
+    fn is_eager(&self, now: Instant) -> bool {
+        self.leader_heard.is_none() && now < self.eager_until
+    }
+
+    /// Whether this server asks for pre-votes itself and goes before another that does: of equal
+    /// logs the lower name.
+    fn goes_before(&self, other: &VoterId, last: (u64, u64)) -> bool {
+        self.standing == Standing::PreCandidate
+            && last == self.last_position()
+            && self.me.name < other.name
+    }
+
     pub(super) fn save_vote(&self, fx: &mut Effects) {
         fx.records.push(Record::Vote {
             term: self.term,
@@ -134,7 +146,12 @@
         let up_to_date = last >= self.last_position();
         let free = pre && term > self.term
             || term == self.term && self.voted_for.as_ref().is_none_or(|voted| voted == from);
-        let granted = up_to_date && free;
+        let granted = up_to_date && free && !(pre && self.goes_before(from, last));
+        if granted && pre && self.is_eager(now) {
+            // Its turn: two that stand together would split the vote.
+            self.standing = Standing::Follower;
+            self.expect_pre_vote(now);
+        }
         if granted && !pre {
             self.voted_for = Some(from.clone());
             self.save_vote(fx);
--- a/crates/core/tests/raft_members.rs
+++ b/crates/core/tests/raft_members.rs
@@ -144,6 +144,32 @@
     }
 }
 
+#[test]
+fn two_servers_that_stand_at_the_same_time_do_not_split_the_vote() {
+    let mut net = Net::founded(&["a", "b", "c"]);
+    net.lose("c");
+    let now = net.now + LEASE + Duration::from_millis(100);
+    // Each round of messages crosses on its way: all are sent before any is delivered.
+    for name in ["a", "b"] {
+        let mut fx = Effects::default();
+        net.servers[name].tick(now, &mut fx);
+        net.wire.extend(fx.send);
+    }
+    while !net.wire.is_empty() {
+        for (to, msg) in std::mem::take(&mut net.wire) {
+            let mut fx = Effects::default();
+            if let Some(server) = net.servers.get_mut(&to) {
+                server.on_msg(now, msg, &mut fx);
+            }
+            net.wire.extend(fx.send);
+        }
+    }
+    assert!(
+        net.servers["a"].has_lease(now),
+        "of equal logs the lower name goes first"
+    );
+}
+
 #[test]
 fn a_server_that_starts_gives_no_vote_before_the_lease_it_may_have_granted_is_over() {
     let mut net = Net::founded(&["a", "b", "c"]);
