Agents are told of waits that go on, not of each short one

Change: the end of waiting is told only after 100 ms without a task that waits. A test counts the messages (80 before, 2 after).

--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -128,7 +128,11 @@
     yields: Vec<(JobId, Name)>,
     /// Highest attempts of jobs that ended here while runs were left, so that a rerun goes on above.
     past_attempts: IndexMap<JobId, u32>,
+    /// What agents were last told of the tasks that wait here.
     told_waiting: u32,
+    /// Whether tasks were left waiting by the last placement.
+    were_waiting: bool,
+    last_waiting: Uptime,
     /// Room may have been freed since the last placement.
     room_freed: bool,
     /// Work sent of late, by pool.
@@ -150,6 +154,8 @@
             yields: Vec::new(),
             past_attempts: IndexMap::new(),
             told_waiting: 0,
+            were_waiting: false,
+            last_waiting: now,
             room_freed: false,
             loads: IndexMap::new(),
             next_rank: now,
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -10,6 +10,9 @@
 /// While tasks wait here, one that finds no room at its agent waits there for this long: longer, and
 /// the room that other workers give free meanwhile would be missed.
 const MAX_PATIENCE_MS: u32 = 60;
+/// Agents are told that no task waits any more only after this time without one: near a full pool a
+/// task waits and is placed up to 140 times a second, and each time all agents would be told twice.
+const WAITING_OVER: Duration = Duration::from_millis(100);
 /// Late tasks wait at agents behind those that can still meet their aim.
 const LATE_DUE: Duration = Duration::from_secs(10);
 
@@ -36,7 +39,7 @@
                 }
             }
         }
-        self.tell_waiting(out);
+        self.tell_waiting(now, out);
     }
 
     fn takes_as_much(&self, id: JobId, least: Resources) -> bool {
@@ -113,7 +116,7 @@
                 needs: step.needs,
                 estimate_ms: step.estimate.as_millis() as u32,
                 due_ms: in_time.unwrap_or(LATE_DUE).as_millis() as u32,
-                patience_ms: if self.told_waiting > 0 {
+                patience_ms: if self.were_waiting {
                     MAX_PATIENCE_MS
                 } else {
                     0
@@ -141,9 +144,19 @@
     }
 
     /// Tells agents when tasks begin or cease to wait, so that they report freed room at once.
-    fn tell_waiting(&mut self, out: &mut Vec<Action>) {
+    fn tell_waiting(&mut self, now: Uptime, out: &mut Vec<Action>) {
         let tasks = self.waiting.len() as u32;
-        if (tasks == 0) == (self.told_waiting == 0) {
+        self.were_waiting = tasks > 0;
+        if self.were_waiting {
+            self.last_waiting = now;
+        }
+        let over = now >= self.last_waiting + WAITING_OVER;
+        let news = if self.told_waiting == 0 {
+            tasks > 0
+        } else {
+            tasks == 0 && over
+        };
+        if !news {
             return;
         }
         self.told_waiting = tasks;
--- a/crates/core/tests/pool_scheduler.rs
+++ b/crates/core/tests/pool_scheduler.rs
@@ -487,3 +487,24 @@
         .collect();
     assert_eq!(named, ["accepted r1", "joined again", "declined r2"]);
 }
+
+#[test]
+fn agents_are_not_told_of_each_short_wait() {
+    let mut bench = Bench::new(&["a", "b"]);
+    let mut told = 0;
+    for id in 1..=20 {
+        // Both workers are full, then have room again: the job waits for 5 ms.
+        bench.room("a", 0, 0);
+        bench.room("b", 0, 0);
+        bench.submit(job(id, 1, cpu(1000)), id);
+        bench.pass(5 * MS);
+        bench.room("a", 100, 4000);
+        let waiting = |action: &Action| matches!(action, Action::Send(_, ToAgent::Waiting { .. }));
+        assert_eq!(bench.starts().len(), 1, "the job is placed");
+        told += bench.take().into_iter().filter(waiting).count();
+    }
+    assert_eq!(told, 2, "each agent is told once while waits go on");
+    bench.pass(200 * MS);
+    let ceased = |action: &Action| matches!(action, Action::Send(_, ToAgent::Waiting { tasks: 0 }));
+    assert_eq!(bench.take().into_iter().filter(ceased).count(), 2);
+}
