Room that grows is offered to what waits; the other workers are not asked again

The choice of a worker has a module of its own, and run time over estimate is worked out once a report. Kept for the work that it saves in a rush.

--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -1,5 +1,7 @@
 //! The workers as one entry sees them: room, speed, health.
 
+mod choice;
+
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
@@ -9,8 +11,8 @@
 use super::msg::{Room, WorkerInfo};
 use crate::ids::Name;
 
-/// How much longer a task runs away from the rack of its data, before it was seen.
-const OTHER_RACK_FACTOR: f64 = 1.5;
+pub use choice::{Choice, Need};
+
 /// A worker whose share of failures is above this, and far above its peers', is ejected.
 const EJECT_ABOVE: f32 = 0.5;
 /// A worker is ejected only if it fails this many times as often as the median of its peers.
@@ -24,21 +26,8 @@
 /// Time until an ejected worker is tried with one run; doubles with each return to ejection.
 const FIRST_EJECTION: Duration = Duration::from_secs(1);
 const MAX_EJECTION: Duration = Duration::from_secs(3);
-/// How much a worker that fails everything counts as slower than one that fails nothing.
-const FAILING_WEIGHT: f64 = 2.0;
-/// How much a full worker counts as slower than an empty one: beside nearly full fast workers, a
-/// slow one is taken for tasks that still end in time there, which leaves the fast ones to others.
-const FULL_WEIGHT: f64 = 1.2;
-/// A task is sent only where it is expected to end within this share of the time to its aim.
-const IN_TIME_SHARE: f64 = 0.97;
 /// Time between two looks at the pace of all workers.
 const REFRESH_EVERY: Duration = Duration::from_millis(40);
-/// Of many workers only so many are compared at a time, so that entries do not all send to the few
-/// best ones at once, and a choice costs the same at any size.
-const SAMPLE: usize = 14;
-/// Random share of the score, so that entries do not all choose the same worker.
-const JITTER: f64 = 0.06;
-
 /// One worker.
 #[derive(Debug)]
 pub struct Worker {
@@ -48,6 +37,8 @@
     pub room: Room,
     /// When it came.
     pub reported: Uptime,
+    /// Run time over estimate, by the latest report.
+    run_factor: f64,
     /// When its agent's link was lost; `None` while it is up.
     pub down_since: Option<Uptime>,
     /// Starts sent on the present link.
@@ -95,24 +86,13 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     workers: IndexMap<Name, Worker>,
-    /// Median pace by pool.
+    /// Median run time over estimate, by pool.
     medians: IndexMap<Name, f64>,
+    /// Workers that have more room than before, or take runs again, since they were last asked for.
+    grown: Vec<Name>,
     next_refresh: Uptime,
 }
 
-/// A worker that was chosen for a task, with what decided.
-#[derive(Clone, Debug)]
-pub struct Choice {
-    /// The worker.
-    pub worker: Name,
-    /// The expected run time there.
-    pub expected: Duration,
-    /// The room that it was believed to have.
-    pub free: Resources,
-    /// Age of that belief.
-    pub age: Duration,
-}
-
 impl Fleet {
     /// The workers by name.
     pub fn iter(&self) -> impl Iterator<Item = (&Name, &Worker)> {
@@ -135,6 +115,7 @@
             info: None,
             room: Room::default(),
             reported: now,
+            run_factor: 1.0,
             down_since: None,
             sent: 0,
             unseen: Vec::new(),
@@ -179,13 +160,24 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return false;
         };
+        let before = worker.takes(now).then(|| worker.free());
         worker.room = room;
         worker.reported = now;
+        worker.run_factor = f64::from(room.pace).exp();
         worker.refused = false;
         worker.unseen.retain(|(number, _)| *number > room.seen);
+        let more = before.is_none_or(|before| !worker.free().fits(before));
+        if more && worker.takes(now) && !self.grown.contains(name) {
+            self.grown.push(name.clone());
+        }
         self.judge(now, name)
     }
 
+    /// Workers that have more room than before, or take runs again, since the last call.
+    pub fn take_grown(&mut self) -> Vec<Name> {
+        std::mem::take(&mut self.grown)
+    }
+
     /// Ejects a worker that fails far more than its peers, and lets one back that no longer does.
     fn judge(&mut self, now: Uptime, name: &Name) -> bool {
         let Some(worker) = self.workers.get(name) else {
@@ -246,10 +238,23 @@
     /// The most of each resource that is free on any one worker that takes runs: what does not fit
     /// into it has no place, and need not be looked for worker by worker.
     pub fn most_free(&self, now: Uptime) -> Resources {
-        let takes = self.workers.values().filter(|worker| worker.takes(now));
-        takes.fold(Resources::default(), |most, worker| {
-            most.largest(worker.free())
-        })
+        Self::most_free_of(now, self.workers.values())
+    }
+
+    /// The same among a few workers.
+    pub fn most_free_on(&self, now: Uptime, names: &[Name]) -> Resources {
+        Self::most_free_of(now, names.iter().filter_map(|name| self.workers.get(name)))
+    }
+
+    fn most_free_of<'a, I>(now: Uptime, workers: I) -> Resources
+    where
+        I: Iterator<Item = &'a Worker>,
+    {
+        workers
+            .filter(|worker| worker.takes(now))
+            .fold(Resources::default(), |most, worker| {
+                most.largest(worker.free())
+            })
     }
 
     /// Whether any worker of the pool that was ever heard of could hold one task of the step.
@@ -267,25 +272,20 @@
         !known
     }
 
-    /// Run time over estimate that is expected of a worker, against the median of its pool.
-    fn slowdown(worker: &Worker, median_pace: f64) -> f64 {
-        (f64::from(worker.room.pace) - median_pace).exp()
-    }
-
     /// How much longer tasks run on a worker than on the median one of its pool.
     pub fn slowdown_of(&self, name: &Name, pool: &Name) -> f64 {
-        let median_pace = self.median_pace(pool);
+        let median = self.median_factor(pool);
         self.workers
             .get(name)
-            .map_or(1.0, |worker| Self::slowdown(worker, median_pace))
+            .map_or(1.0, |worker| worker.run_factor / median)
     }
 
-    /// The median pace of a pool's workers, as of the last refresh.
-    pub fn median_pace(&self, pool: &Name) -> f64 {
-        self.medians.get(pool).copied().unwrap_or(0.0)
+    /// The median run time over estimate of a pool's workers, as of the last refresh.
+    pub fn median_factor(&self, pool: &Name) -> f64 {
+        self.medians.get(pool).copied().unwrap_or(1.0)
     }
 
-    /// Works out the median paces anew, now and then: every choice asks for them.
+    /// Works out the medians anew, now and then: every choice asks for them.
     pub fn refresh(&mut self, now: Uptime) {
         if now < self.next_refresh {
             return;
@@ -301,114 +301,11 @@
                 .peers(&pool)
                 .map(|(_, worker)| worker.room.pace)
                 .collect();
-            let pace = f64::from(median(paces));
-            self.medians.insert(pool, pace);
+            let factor = f64::from(median(paces)).exp();
+            self.medians.insert(pool, factor);
         }
     }
 
-    /// The best worker for a task: of those on which it is expected to end within `in_time`, if
-    /// that is given, the one that is fast and has room.
-    pub fn choose<F>(
-        &self,
-        now: Uptime,
-        pool: &Name,
-        step: &Step,
-        in_time: Option<Duration>,
-        allowed: F,
-        rng: &mut fastrand::Rng,
-    ) -> Option<Choice>
-    where
-        F: Fn(&Name) -> bool,
-    {
-        let chosen = if self.workers.len() > SAMPLE {
-            let first = rng.usize(0..self.workers.len());
-            self.choose_among(now, pool, step, in_time, &allowed, rng, first, SAMPLE)
-        } else {
-            None
-        };
-        chosen.or_else(|| {
-            let all = self.workers.len();
-            self.choose_among(now, pool, step, in_time, &allowed, rng, 0, all)
-        })
-    }
-
-    /// The best of `count` workers from the one with number `first` on. Their order is that in
-    /// which they were linked, so it differs among entries.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "the question and the range to search"
-    )]
-    fn choose_among<F>(
-        &self,
-        now: Uptime,
-        pool: &Name,
-        step: &Step,
-        in_time: Option<Duration>,
-        allowed: &F,
-        rng: &mut fastrand::Rng,
-        first: usize,
-        count: usize,
-    ) -> Option<Choice>
-    where
-        F: Fn(&Name) -> bool,
-    {
-        let median_pace = self.median_pace(pool);
-        let mut best: Option<(f64, Choice)> = None;
-        let all = self.workers.len();
-        let range = (first..first + count).filter_map(|i| self.workers.get_index(i % all));
-        for (name, worker) in range.filter(|(_, w)| w.takes(now)) {
-            let free = worker.free();
-            let labelled = step.label.as_ref().is_none_or(|l| worker.has_label(l));
-            if !worker.serves(pool) || !step.needs.fits(free) || !labelled || !allowed(name) {
-                continue;
-            }
-            if !Self::may_try(now, worker) {
-                continue;
-            }
-            let mut factor = Self::slowdown(worker, median_pace);
-            if step
-                .rack
-                .as_ref()
-                .is_some_and(|rack| !worker.has_label(rack))
-            {
-                factor *= OTHER_RACK_FACTOR;
-            }
-            let capacity = worker
-                .info
-                .as_ref()
-                .map_or(1, |i| i.capacity.cpu_milli.max(1));
-            let taken = 1.0 - f64::from(free.cpu_milli) / f64::from(capacity);
-            let expected = step
-                .estimate
-                .mul_f64((factor * median_pace.exp()).min(100.0));
-            if in_time.is_some_and(|time| expected > time.mul_f64(IN_TIME_SHARE)) {
-                continue;
-            }
-            factor *= 1.0 + FAILING_WEIGHT * f64::from(worker.room.failing);
-            let score = factor * (1.0 + FULL_WEIGHT * taken * taken) * (1.0 + JITTER * rng.f64());
-            if best.as_ref().is_none_or(|(least, _)| score < *least) {
-                let choice = Choice {
-                    worker: name.clone(),
-                    expected: step
-                        .estimate
-                        .mul_f64((factor * median_pace.exp()).min(100.0)),
-                    free,
-                    age: now.saturating_sub(worker.reported),
-                };
-                best = Some((score, choice));
-            }
-        }
-        best.map(|(_, choice)| choice)
-    }
-
-    /// An ejected worker gets one run at a time once its time is over.
-    fn may_try(now: Uptime, worker: &Worker) -> bool {
-        let Some(until) = worker.ejected_until else {
-            return true;
-        };
-        now >= until && worker.runs == 0
-    }
-
     /// Counts a start that is sent now.
     pub fn sent(&mut self, now: Uptime, name: &Name, needs: Resources) {
         if let Some(worker) = self.workers.get_mut(name) {
@@ -453,6 +350,7 @@
             if worker.ejected_until.is_some() {
                 worker.ejected_until = Some(now);
                 worker.ejection = FIRST_EJECTION;
+                self.grown.push(name.clone());
             }
         }
     }
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -133,8 +133,8 @@
     /// Whether tasks were left waiting by the last placement.
     were_waiting: bool,
     last_waiting: Uptime,
-    /// Room may have been freed since the last placement.
-    room_freed: bool,
+    /// Jobs that came, or came back to the waiting ones, since the last placement.
+    untried: Vec<JobId>,
     /// Work sent of late, by pool.
     loads: IndexMap<Name, PoolLoad>,
     next_rank: Uptime,
@@ -156,7 +156,7 @@
             told_waiting: 0,
             were_waiting: false,
             last_waiting: now,
-            room_freed: false,
+            untried: Vec::new(),
             loads: IndexMap::new(),
             next_rank: now,
             seen: now,
@@ -281,7 +281,8 @@
             self.waiting.insert(job.rank);
         }
         self.jobs.insert(id, job);
-        self.pump(now, out);
+        self.untried.push(id);
+        self.settle_room(now, out);
     }
 
     fn tasks_of(&self, now: Uptime, spec: &Job) -> Vec<Task> {
@@ -343,7 +344,6 @@
         let (id, took) = (*id, now.saturating_sub(job.arrived));
         out.push(Action::Note(Note::Abandoned { job: id, took }));
         self.remove(now, id, out);
-        self.pump(now, out);
     }
 
     /// Cancels a job. `false` when it is not open here.
@@ -356,7 +356,6 @@
             return false;
         }
         self.give_up(now, id, "cancelled by the caller", out);
-        self.pump(now, out);
         true
     }
 
@@ -417,14 +416,6 @@
         self.settle(now, id, out);
     }
 
-    /// Places what waits, if room was freed by what was handed on. The adapter calls this once for
-    /// all that arrived together, since a placement looks at many jobs.
-    pub fn settle_room(&mut self, now: Uptime, out: &mut Vec<Action>) {
-        if std::mem::take(&mut self.room_freed) && !self.waiting.is_empty() {
-            self.pump(now, out);
-        }
-    }
-
     /// Acts on the passing of time.
     pub fn tick(&mut self, now: Uptime, out: &mut Vec<Action>) {
         let begun = self.owners.tick(now);
@@ -486,7 +477,8 @@
         job.hold = if stopping { Hold::Stopping } else { Hold::None };
         if !stopping {
             self.waiting.insert(job.rank);
-            self.pump(now, out);
+            self.untried.push(id);
+            self.settle_room(now, out);
         }
     }
 
--- a/crates/core/src/pool/scheduler/load.rs
+++ b/crates/core/src/pool/scheduler/load.rs
@@ -162,10 +162,10 @@
 
     /// Whether tasks of the job that are sent now are expected to miss its aim.
     fn is_late(&self, now: Uptime, job: &OpenJob) -> bool {
-        let pace = self.fleet.median_pace(&job.queue.pool).exp();
+        let factor = self.fleet.median_factor(&job.queue.pool);
         let expected = job
             .ready_estimate()
-            .mul_f64(pace.clamp(0.2, 5.0) * RUN_MARGIN);
+            .mul_f64(factor.clamp(0.2, 5.0) * RUN_MARGIN);
         now + expected > job.aim
     }
 }
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -1,12 +1,15 @@
 //! Placement: which waiting task goes to which worker.
 
 use super::super::Uptime;
+use super::super::fleet::Need;
 use super::super::job::Resources;
 use super::super::msg::{Start, ToAgent};
 use super::{Action, Duration, JobId, Name, Note, Placed, Rank, Scheduler, TaskState, Tier};
 
 /// Waiting jobs without a place that are tried before the rest is left for the next report.
 const MAX_MISSES: usize = 12;
+/// Waiting jobs to which room that was freed is offered at once; the rest are tried with the next tick.
+const MAX_OFFERS: usize = 48;
 /// While tasks wait here, one that finds no room at its agent waits there for this long: longer, and
 /// the room that other workers give free meanwhile would be missed.
 const MAX_PATIENCE_MS: u32 = 60;
@@ -16,9 +19,56 @@
 /// Late tasks wait at agents behind those that can still meet their aim.
 const LATE_DUE: Duration = Duration::from_secs(10);
 
+/// Where a place is looked for.
+#[derive(Clone, Copy)]
+enum Among<'a> {
+    All,
+    /// These workers only: no other has more room than when the job was last tried.
+    Grown(&'a [Name]),
+}
+
 impl Scheduler {
-    /// Sends waiting tasks to workers with room, in order.
+    /// Places what can be placed after what was handed on: waiting jobs on workers that have more room
+    /// than before, then new and returned jobs on any. The adapter calls this once for all that
+    /// arrived together.
+    pub fn settle_room(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        let grown = self.fleet.take_grown();
+        let untried = std::mem::take(&mut self.untried);
+        if self.waiting.is_empty() || grown.is_empty() && untried.is_empty() {
+            return;
+        }
+        self.rank_waiting(now, out);
+        self.place_on(now, &grown, out);
+        let most_free = self.fleet.most_free(now);
+        let ranks = untried
+            .iter()
+            .filter_map(|id| Some(self.jobs.get(id)?.rank));
+        let mut ranks: Vec<Rank> = ranks.filter(|rank| self.waiting.contains(rank)).collect();
+        ranks.sort_unstable();
+        ranks.dedup();
+        for rank in ranks {
+            self.place_job(now, rank.2, Among::All, most_free, out);
+        }
+        self.tell_waiting(now, out);
+    }
+
+    /// Offers the room of workers that have more of it to waiting jobs, in order.
+    fn place_on(&mut self, now: Uptime, grown: &[Name], out: &mut Vec<Action>) {
+        if grown.is_empty() {
+            return;
+        }
+        let most_free = self.fleet.most_free_on(now, grown);
+        let order: Vec<Rank> = self.waiting.iter().take(MAX_OFFERS).copied().collect();
+        for rank in order {
+            self.place_job(now, rank.2, Among::Grown(grown), most_free, out);
+        }
+    }
+
+    /// Sends waiting tasks to workers with room, in order. Room that grows is offered at once by
+    /// [`Scheduler::settle_room`]; this also finds what became possible by the passing of time.
     pub(super) fn pump(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        self.untried.clear();
+        self.fleet.take_grown();
         self.rank_waiting(now, out);
         let order: Vec<Rank> = self.waiting.iter().copied().collect();
         // Room is only taken while jobs are placed, so that this stays an upper bound.
@@ -32,7 +82,8 @@
                 self.miss(rank.2);
                 continue;
             }
-            if let Some(needs) = self.place_job(now, rank.2, most_free, out) {
+            if let Some(needs) = self.place_job(now, rank.2, Among::All, most_free, out) {
+                self.miss(rank.2);
                 misses += 1;
                 if rank.0 == Tier::Late {
                     least = Some(needs);
@@ -62,6 +113,7 @@
         &mut self,
         now: Uptime,
         id: JobId,
+        among: Among<'_>,
         most_free: Resources,
         out: &mut Vec<Action>,
     ) -> Option<Resources> {
@@ -72,6 +124,11 @@
             if !job.is_ready(&job.tasks[i]) {
                 continue;
             }
+            let needs = job.step(&job.tasks[i]).needs;
+            if !needs.fits(most_free) {
+                missed = Some(needs);
+                break;
+            }
             let step = job.step(&job.tasks[i]).clone();
             let number = job.tasks[i].step;
             let on_worker = |name: &Name| {
@@ -84,18 +141,22 @@
             let allowed = |name: &Name| {
                 step.per_worker == 0 || on_worker(name) < usize::from(step.per_worker)
             };
-            let pool = &job.queue.pool;
             let in_time = (job.rank.0 < Tier::Late && job.rank.0 != Tier::Begun)
                 .then(|| job.aim.saturating_sub(now));
-            let choice = if step.needs.fits(most_free) {
-                self.fleet
-                    .choose(now, pool, &step, in_time, allowed, &mut self.rng)
-            } else {
-                None
+            let need = Need {
+                pool: &job.queue.pool,
+                step: &step,
+                in_time,
+            };
+            let choice = match among {
+                Among::All => self.fleet.choose(now, need, allowed, &mut self.rng),
+                Among::Grown(names) => {
+                    self.fleet
+                        .choose_on(now, need, names, allowed, &mut self.rng)
+                }
             };
             let Some(choice) = choice else {
-                missed = Some(step.needs);
-                job.missed = Some(job.rank.0);
+                missed = Some(needs);
                 break;
             };
             let task = &mut job.tasks[i];
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::super::Uptime;
+use super::super::fleet::Need;
 use super::super::job::{RunEnd, RunId};
 use super::super::msg::{NotStarted, ToAgent, ToEntry};
 use super::super::owners::SURE_AFTER;
@@ -51,7 +52,6 @@
                         failing: room.failing,
                     }));
                 }
-                self.room_freed = true;
             }
             ToEntry::Ended { run, end, ran_ms } => {
                 Self::note_over(run, name, (Some(end), None, ran_ms), out);
@@ -171,6 +171,7 @@
         match verdict {
             Verdict::Again | Verdict::StepDone => {
                 self.waiting.insert(job.rank);
+                self.untried.push(id);
             }
             Verdict::Nothing => {}
             Verdict::Completed => self.answer(now, id, &Answer::Completed, out),
@@ -179,7 +180,6 @@
                 self.answer(now, id, &answer, out);
             }
         }
-        self.room_freed = true;
     }
 
     /// Runs on workers that have been away long enough have surely ended.
@@ -238,10 +238,12 @@
         };
         let elsewhere = |other: &Name| other != name;
         let pool = &job.queue.pool;
-        let Some(choice) = self
-            .fleet
-            .choose(now, pool, step, None, elsewhere, &mut self.rng)
-        else {
+        let need = Need {
+            pool,
+            step,
+            in_time: None,
+        };
+        let Some(choice) = self.fleet.choose(now, need, elsewhere, &mut self.rng) else {
             return;
         };
         // A long task on a sound worker would be as long elsewhere: only the difference in speed
