Forgetting another entry's job costs the same however many are remembered

Cause: entries remember one another's jobs for 12 s, and each job that was forgotten moved all others up by one place. At 700 jobs a second that is 8,400 places 700 times a second. Change: the order of the words is kept beside the table; what is out of date in it is passed over.

--- a/crates/core/src/pool/owners.rs
+++ b/crates/core/src/pool/owners.rs
@@ -3,6 +3,7 @@
 //! Entries tell one another what they began, a few times a second. A caller sends a job again
 //! 1,300 ms after its connection broke at the earliest, so the word is there before the job is.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -26,6 +27,8 @@
 #[derive(Debug, Default)]
 pub struct Owners {
     jobs: IndexMap<JobId, (Name, Uptime)>,
+    /// All of `jobs` by the time of the word, oldest first; some are out of date.
+    order: VecDeque<(Uptime, JobId)>,
     /// Linked entries; the time of the loss for those that were lost.
     peers: IndexMap<Name, Option<Uptime>>,
     begun: Vec<JobId>,
@@ -52,11 +55,21 @@
     /// Another entry began jobs.
     pub fn on_began(&mut self, now: Uptime, entry: &Name, jobs: Vec<JobId>) {
         for job in jobs {
-            self.jobs.shift_remove(&job);
             self.jobs.insert(job, (entry.clone(), now));
+            self.order.push_back((now, job));
+        }
+        while self.order.len() > MAX_REMEMBERED {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some((at, job)) = self.order.pop_front() else {
+            return;
+        };
+        if self.jobs.get(&job).is_some_and(|(_, told)| *told == at) {
+            self.jobs.swap_remove(&job);
         }
-        let over = self.jobs.len().saturating_sub(MAX_REMEMBERED);
-        self.jobs.drain(..over);
     }
 
     /// The entry that may still run the job.
@@ -66,7 +79,7 @@
 
     /// The job is surely not run by another entry.
     pub fn released(&mut self, job: JobId) {
-        self.jobs.shift_remove(&job);
+        self.jobs.swap_remove(&job);
     }
 
     /// Whether all that an entry ran before its link was lost has surely ended.
@@ -80,10 +93,12 @@
 
     /// The jobs to tell now.
     pub fn tick(&mut self, now: Uptime) -> Vec<JobId> {
-        while let Some((_, (_, at))) = self.jobs.first()
-            && now > *at + REMEMBER
+        while self
+            .order
+            .front()
+            .is_some_and(|(at, _)| now > *at + REMEMBER)
         {
-            self.jobs.shift_remove_index(0);
+            self.forget_oldest();
         }
         if now < self.next_tell {
             return Vec::new();
