A caller whose connection was reset may come to another entry at once

Cause: the design took it that a caller comes again after 1,300 ms at the earliest, and entries tell one another every 200 ms what they began. That holds after an answer that does not come; after a reset the same job came to another entry within 10 ms. Besides, a request that was read together with the end of its connection was begun, though its caller had gone. Change: nothing is begun for a caller whose connection has ended with the request, which is logged; of a job that ends while runs of it are left, the other entries are told at once, so that they wait until those have surely stopped. What is left: the word is sent when the reset is seen.

--- a/crates/core/src/pool/owners.rs
+++ b/crates/core/src/pool/owners.rs
@@ -1,7 +1,9 @@
 //! Which entry runs which job.
 //!
-//! Entries tell one another what they began, a few times a second. A caller sends a job again
-//! 1,300 ms after its connection broke at the earliest, so the word is there before the job is.
+//! Entries tell one another what they began, a few times a second. A caller that got no answer sends
+//! a job again after 1,300 ms at the earliest, so the word is there before the job is. One whose
+//! connection was reset may come to another entry within milliseconds: of a job that ends while runs
+//! of it are left the others are told at once.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -52,6 +54,13 @@
         self.jobs.swap_remove(&job);
     }
 
+    /// The jobs to tell at once, if `job` is one that was not told yet: its caller may come to
+    /// another entry at any moment.
+    pub fn untold_with(&mut self, job: JobId) -> Option<Vec<JobId>> {
+        let untold = self.begun.contains(&job);
+        untold.then(|| std::mem::take(&mut self.begun))
+    }
+
     /// Another entry began jobs.
     pub fn on_began(&mut self, now: Uptime, entry: &Name, jobs: Vec<JobId>) {
         for job in jobs {
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -412,6 +412,9 @@
         }
         if left {
             self.past_attempts.insert(id, highest);
+            if let Some(jobs) = self.owners.untold_with(id) {
+                out.push(Action::Peers(Peer::Began { jobs }));
+            }
         }
         self.settle(now, id, out);
     }
--- a/crates/core/tests/pool_scheduler.rs
+++ b/crates/core/tests/pool_scheduler.rs
@@ -132,6 +132,14 @@
         starts.collect()
     }
 
+    fn peer_msgs(&self) -> Vec<(Name, Peer)> {
+        let msgs = self.out.iter().filter_map(|action| match action {
+            Action::Peer(entry, msg) => Some((entry.clone(), msg.clone())),
+            _ => None,
+        });
+        msgs.collect()
+    }
+
     fn stops(&self) -> Vec<RunId> {
         let stops = self.out.iter().filter_map(|action| match action {
             Action::Send(_, ToAgent::Stop { run }) => Some(*run),
@@ -508,3 +516,48 @@
     let ceased = |action: &Action| matches!(action, Action::Send(_, ToAgent::Waiting { tasks: 0 }));
     assert_eq!(bench.take().into_iter().filter(ceased).count(), 2);
 }
+
+#[test]
+fn a_caller_whose_connection_was_reset_may_come_to_another_entry_at_once() {
+    let (mut first, mut second) = (Bench::new(&["a"]), Bench::new(&["b"]));
+    let (e1, e2) = (Name::from("e1"), Name::from("e2"));
+    first.core.peer_up(&e2);
+    second.core.peer_up(&e1);
+    first.submit(job(7, 2, cpu(1000)), 1);
+    let runs: Vec<RunId> = first.starts().iter().map(|(_, start)| start.run).collect();
+    first.take();
+    first.core.hung_up(first.now, 1, &mut first.out);
+    let told = first.take().into_iter().find_map(|action| match action {
+        Action::Peers(msg) => Some(msg),
+        _ => None,
+    });
+    let told = told.expect("the other entries are told with the stops");
+    second.core.on_peer(second.now, &e1, told, &mut second.out);
+    second.submit(job(7, 2, cpu(1000)), 1);
+    assert!(second.starts().is_empty(), "the first runs may still go on");
+    let ask = Peer::Yield { job: JobId(7) };
+    assert_eq!(second.peer_msgs(), [(e1.clone(), ask.clone())]);
+    second.take();
+    first.core.on_peer(first.now, &e2, ask, &mut first.out);
+    assert!(
+        first.take().is_empty(),
+        "nothing is yielded while runs are left"
+    );
+    for run in runs {
+        let end = RunEnd::Gone;
+        first.from(
+            "a",
+            ToEntry::Ended {
+                run,
+                end,
+                ran_ms: 3,
+            },
+        );
+    }
+    let yielded = Peer::Yielded { job: JobId(7) };
+    assert_eq!(first.peer_msgs(), [(e2, yielded.clone())]);
+    second
+        .core
+        .on_peer(second.now, &e1, yielded, &mut second.out);
+    assert_eq!(second.starts().len(), 2);
+}
--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -321,7 +321,9 @@
         let mut open = true;
         if ready.readable {
             open = conn.read(now, ready.half_closed);
-            conn.take_events(now, id, &self.key, &self.hello, &self.limits, out);
+            if open || !conn.drop_request() {
+                conn.take_events(now, id, &self.key, &self.hello, &self.limits, out);
+            }
         }
         if conn.broken {
             open = false;
--- a/crates/host/src/net/conn.rs
+++ b/crates/host/src/net/conn.rs
@@ -24,6 +24,8 @@
 const MAX_AHEAD: usize = 64 * 1024;
 /// Time for a connection of ours to be opened.
 const CONNECT_TIME: Duration = Duration::from_millis(700);
+/// Bytes of a dropped request's first line that are logged.
+const MAX_LOGGED_LINE: usize = 160;
 /// Buffers above this are given back when they are empty.
 const KEEP_BUFFER: usize = 32 * 1024;
 
@@ -198,6 +200,22 @@
         }
     }
 
+    /// Drops what was read of a caller that has gone, so that nothing is begun for it: it may have sent
+    /// its request elsewhere already. `false` on connections that are not callers'.
+    pub(super) fn drop_request(&mut self) -> bool {
+        if !matches!(self.role, Role::Http(_)) {
+            return false;
+        }
+        if !self.serving && !self.input.is_empty() {
+            let line = self.input.split(|b| *b == b'\r').next().unwrap_or_default();
+            let line = String::from_utf8_lossy(&line[..line.len().min(MAX_LOGGED_LINE)]);
+            log::info!(peer:% = self.peer, bytes = self.input.len(), line:% = line;
+                "request dropped: its caller has gone");
+            self.input.clear();
+        }
+        true
+    }
+
     /// Writes what it can. `false` when the connection is over.
     pub(super) fn write(&mut self) -> bool {
         while self.has_output() {
