A fault soak on real processes, by seed

Faults overlap, up to three at a time, and strike again. Callers keep their connections and send lost jobs again at another entry; operators change, race on one revision and read back. Checked: no task twice, no answer that is not the caller's own, no false "not run", no acknowledged change lost or read back older, one winner a race, shutdowns end in time and cut nothing that was in flight (only where no other fault was near), service and configuration within 20 s after all is healed. New setting `node.advertise`: where others reach a node's links, for address translations; the forwarders need it. The operator's calls of the laboratory have a module of their own; requests and answers of a job are written once. It takes the place of the earlier fault run, which killed and froze one process at a time. Not brought about: steps of the wall clock and lost datagrams; syncs that fail without ending the process.

--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -117,7 +117,7 @@
             role: self.role,
             domain: hello.domain,
             gossip: self.node.gossip,
-            link: self.node.link,
+            link: self.node.advertise.unwrap_or(self.node.link),
             http: self.node.http,
             state: MemberState::Alive,
             leaving: false,
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -56,6 +56,9 @@
     pub domain: Name,
     /// Where links are accepted.
     pub link: SocketAddr,
+    /// Where others reach `link`, if an address translation or a forwarder stands before it.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
     /// Where datagrams are taken.
     pub gossip: SocketAddr,
     /// Where HTTP is served.
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -66,11 +66,15 @@
     JobKey::new(clock::wall(), fastrand::u128(..))
 }
 
-/// Submits a job under a key at an entry and waits for the answer.
-pub fn submit(entry: &str, key: JobKey, job: &Job) -> Outcome {
-    let echo = |i: usize| format!("{key}-{i}");
+fn echo(key: JobKey, i: usize) -> String {
+    format!("{key}-{i}")
+}
+
+/// The body of a submission.
+pub fn body_of(key: JobKey, job: &Job) -> String {
     let task = |(i, run): (usize, &Duration)| {
-        let mut task = json!({ "payload": format!("run={} echo={}", run.as_millis(), echo(i)) });
+        let payload = format!("run={} echo={}", run.as_millis(), echo(key, i));
+        let mut task = json!({ "payload": payload });
         if let Some(factor) = job.declared_factor {
             task["run_ms"] = json!((run.as_secs_f64() * factor * 1000.0).max(1.0) as u64);
         }
@@ -83,6 +87,29 @@
         "deadline_ms": job.deadline.as_millis() as u64,
         "tasks": job.runs.iter().enumerate().map(task).collect::<Vec<_>>(),
     });
+    body.to_string()
+}
+
+/// What an answer says, and the problem's type, if any.
+pub fn end_of(status: u16, text: &str, key: JobKey, job: &Job) -> (End, String) {
+    let value: Value = serde_json::from_str(text).unwrap_or_default();
+    if status == 200 {
+        let expected = (0..job.runs.len()).map(|i| json!(echo(key, i)));
+        let right = value["results"] == Value::Array(expected.collect());
+        let end = if right { End::Whole } else { End::Wrong };
+        return (end, String::new());
+    }
+    let end = if value["outcome"] == "not-run" {
+        End::NotRun
+    } else {
+        End::Unknown
+    };
+    let problem = value["type"].as_str().unwrap_or("none");
+    (end, problem.replace("urn:redwingwick:", ""))
+}
+
+/// Submits a job under a key at an entry and waits for the answer.
+pub fn submit(entry: &str, key: JobKey, job: &Job) -> Outcome {
     let begun = Instant::now();
     let reply = attohttpc::post(format!("http://{entry}/v1/jobs"))
         .connect_timeout(Duration::from_secs(1))
@@ -91,36 +118,14 @@
         .proxy_settings(ProxySettings::builder().build())
         .header("Authorization", format!("Bearer {CALLER}"))
         .header("Idempotency-Key", key.to_string())
-        .text(body.to_string())
+        .text(body_of(key, job))
         .send()
         .and_then(|response| Ok((response.status().as_u16(), response.text()?)));
     let time = begun.elapsed();
-    let Ok((status, text)) = reply else {
-        return Outcome {
-            end: End::Lost,
-            time,
-            problem: "lost".into(),
-        };
-    };
-    let value: Value = serde_json::from_str(&text).unwrap_or_default();
-    if status == 200 {
-        let expected: Vec<Value> = (0..job.runs.len()).map(|i| json!(echo(i))).collect();
-        let right = value["results"] == Value::Array(expected);
-        return Outcome {
-            end: if right { End::Whole } else { End::Wrong },
-            time,
-            problem: String::new(),
-        };
-    }
-    let end = if value["outcome"] == "not-run" {
-        End::NotRun
-    } else {
-        End::Unknown
+    let (end, problem) = match reply {
+        Ok((status, text)) => end_of(status, &text, key, job),
+        Err(_) => (End::Lost, "lost".into()),
     };
-    let problem = value["type"]
-        .as_str()
-        .unwrap_or("none")
-        .replace("urn:redwingwick:", "");
     Outcome { end, time, problem }
 }
 
--- a/crates/load/src/lab.rs
+++ b/crates/load/src/lab.rs
@@ -1,12 +1,13 @@
 //! A cluster of real processes on loopback, in a folder of its own. Only tests and measurements
 //! start processes; the system's own never do.
 
+mod operator;
 mod probe;
 
 use std::fmt::Write as _;
 use std::fs::{self, File};
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -19,6 +20,10 @@
 use rw_host::http::token_hash;
 use serde_json::Value;
 
+use crate::forwarder::Forwarder;
+
+pub use operator::{Operator, request};
+
 /// The operator's token in a laboratory.
 pub const OPERATOR: &str = "lab-operator";
 /// The callers' token in a laboratory, for all tenants.
@@ -29,7 +34,9 @@
 /// Ports below the range from which the system takes those of outgoing connections.
 const FIRST_PORT: u16 = 10_000;
 const LAST_PORT: u16 = 30_000;
-const PORTS_PER_NODE: u16 = 4;
+const PORTS_PER_NODE: u16 = 5;
+/// The port of a node's forwarder, from the first of its ports.
+const FORWARDER_PORT: u16 = 4;
 
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
@@ -52,6 +59,8 @@
     pub agent_settings: String,
     /// Tenants and their weights.
     pub tenants: Vec<(&'static str, u32)>,
+    /// Whether links go through a forwarder before each process.
+    pub forwarders: bool,
 }
 
 impl Default for Plan {
@@ -65,6 +74,7 @@
             entry_settings: String::new(),
             agent_settings: String::new(),
             tenants: vec![("t1", 1)],
+            forwarders: false,
         }
     }
 }
@@ -78,6 +88,8 @@
     bin: PathBuf,
     ports: IndexMap<String, u16>,
     children: IndexMap<String, Child>,
+    forwarders: IndexMap<String, Forwarder>,
+    kept: bool,
 }
 
 impl Lab {
@@ -125,6 +137,8 @@
             bin,
             ports: IndexMap::new(),
             children: IndexMap::new(),
+            forwarders: IndexMap::new(),
+            kept: false,
         };
         let names = |letter: char, count: usize| (0..count).map(move |i| format!("{letter}{i}"));
         let controls: Vec<String> = names('c', lab.plan.controls).collect();
@@ -134,6 +148,12 @@
         }
         for name in lab.ports.keys().cloned().collect::<Vec<_>>() {
             lab.write_settings(&name, &controls)?;
+            if lab.plan.forwarders {
+                let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
+                let (front, link) = (lab.front(&name), lab.port(&name));
+                let forwarder = Forwarder::start(at(front), at(link))?;
+                lab.forwarders.insert(name, forwarder);
+            }
         }
         Ok(lab)
     }
@@ -147,16 +167,17 @@
             .collect();
         let mut text = format!(
             "[node]\nname = \"{name}\"\ndomain = \"d{}\"\nlink = \"127.0.0.1:{port}\"\n\
-             gossip = \"127.0.0.1:{}\"\nhttp = \"127.0.0.1:{}\"\nseeds = [{}]\n\
+             advertise = \"127.0.0.1:{}\"\ngossip = \"127.0.0.1:{}\"\nhttp = \"127.0.0.1:{}\"\nseeds = [{}]\n\
              cluster_secret = \"{SECRET}\"\n[log]\nlevel = \"info\"\n",
             number % self.plan.domains.max(1),
+            self.front(name),
             port + 1,
             port + 2,
             seeds.join(", "),
         );
         match &name[..1] {
             "c" => {
-                let data = self.dir.join(name);
+                let data = self.data(name);
                 fs::create_dir_all(&data)?;
                 let hash = token_hash(OPERATOR);
                 let _ = writeln!(
@@ -166,7 +187,7 @@
                 );
                 let _ = writeln!(text, "[control.peers]");
                 for control in controls {
-                    let _ = writeln!(text, "{control} = \"127.0.0.1:{}\"", self.port(control));
+                    let _ = writeln!(text, "{control} = \"127.0.0.1:{}\"", self.front(control));
                 }
             }
             "e" => text.push_str(&self.plan.entry_settings),
@@ -179,6 +200,21 @@
         self.dir.join(format!("{name}.toml"))
     }
 
+    /// The port at which others reach a node's links.
+    fn front(&self, name: &str) -> u16 {
+        let front = if self.plan.forwarders {
+            FORWARDER_PORT
+        } else {
+            0
+        };
+        self.port(name) + front
+    }
+
+    /// What stands before a node's links.
+    pub fn forwarder(&self, name: &str) -> Option<&Forwarder> {
+        self.forwarders.get(name)
+    }
+
     fn port(&self, name: &str) -> u16 {
         self.ports.get(name).copied().unwrap_or(0)
     }
@@ -205,6 +241,17 @@
             .collect()
     }
 
+    /// A control node's folder.
+    pub fn data(&self, name: &str) -> PathBuf {
+        self.dir.join(name)
+    }
+
+    /// Leaves the folder where it is when the laboratory ends, and says where.
+    pub fn keep(&mut self) -> PathBuf {
+        self.kept = true;
+        self.dir.clone()
+    }
+
     /// Names of all running processes.
     pub fn running(&self) -> Vec<String> {
         self.children.keys().cloned().collect()
@@ -240,7 +287,11 @@
         let listen = format!("127.0.0.1:{}", self.port(&worker) + 3);
         let agent = self.http(&worker);
         let (speed, slots) = (self.plan.speeds[i].to_string(), self.plan.slots.to_string());
-        let journal = self.dir.join("starts").display().to_string();
+        let journal = self
+            .dir
+            .join(format!("starts-{name}"))
+            .display()
+            .to_string();
         let mut args = vec![
             "--listen",
             &listen,
@@ -328,63 +379,30 @@
         Ok(())
     }
 
+    /// An operator of this cluster.
+    pub fn operator(&self) -> Operator {
+        let controls = 0..self.plan.controls;
+        Operator::new(controls.map(|i| self.http(&format!("c{i}"))).collect())
+    }
+
     /// Makes a change at whichever control node leads. Returns the new revision.
     pub fn change(&self, change: Change) -> io::Result<u64> {
-        let req = ChangeRequest {
-            request_id: uuid::Uuid::now_v7(),
-            base: u64::MAX,
-            change,
-        };
-        self.request(&req)
+        self.operator().change(change)
     }
 
     /// Sends a change request until a control node takes it.
     pub fn request(&self, req: &ChangeRequest) -> io::Result<u64> {
-        let body = serde_json::to_string(req).map_err(io::Error::other)?;
-        let until = Instant::now() + Duration::from_secs(20);
-        let mut last = String::new();
-        while Instant::now() < until {
-            for i in 0..self.plan.controls {
-                let url = format!("http://{}/v1/changes", self.http(&format!("c{i}")));
-                match http("POST", &url, OPERATOR, Some(&body)) {
-                    Ok((200, text)) => return Ok(revision_in(&text)),
-                    Ok((409 | 422, text)) => return Err(io::Error::other(text)),
-                    Ok((_, text)) => last = text,
-                    Err(e) => last = e.to_string(),
-                }
-            }
-            std::thread::sleep(Duration::from_millis(100));
-        }
-        Err(io::Error::other(format!(
-            "no control node took the change: {last}"
-        )))
+        self.operator().request(req)
     }
 
     /// The status as the one leader confirms it.
     pub fn confirmed_status(&self, time: Duration) -> Option<Value> {
-        let until = Instant::now() + time;
-        while Instant::now() < until {
-            for i in 0..self.plan.controls {
-                let url = format!(
-                    "http://{}/v1/status?confirmed=1",
-                    self.http(&format!("c{i}"))
-                );
-                if let Ok((200, text)) = http("GET", &url, OPERATOR, None) {
-                    return serde_json::from_str(&text).ok();
-                }
-            }
-            std::thread::sleep(Duration::from_millis(50));
-        }
-        None
+        self.operator().confirmed_status(time)
     }
 
     /// The status that some control node gives.
     pub fn status(&self) -> Option<Value> {
-        (0..self.plan.controls).find_map(|i| {
-            let url = format!("http://{}/v1/status", self.http(&format!("c{i}")));
-            let (status, text) = http("GET", &url, OPERATOR, None).ok()?;
-            (status == 200).then(|| serde_json::from_str(&text).ok())?
-        })
+        self.operator().status()
     }
 
     fn is_settled(&self) -> bool {
@@ -433,7 +451,7 @@
         for name in self.running() {
             self.kill(&name);
         }
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && !self.kept {
             let _ = fs::remove_dir_all(&self.dir);
         }
     }
@@ -454,11 +472,6 @@
     Err(io::Error::other("no free ports"))
 }
 
-fn revision_in(text: &str) -> u64 {
-    let value: Value = serde_json::from_str(text).unwrap_or_default();
-    value["applied"]["revision"].as_u64().unwrap_or(0)
-}
-
 /// One HTTP call.
 pub fn http(
     method: &str,
--- a/crates/load/src/lab/probe.rs
+++ b/crates/load/src/lab/probe.rs
@@ -46,14 +46,29 @@
         read().unwrap_or(0) * 4096
     }
 
+    /// Names of the backend servers.
+    pub fn backends(&self) -> impl Iterator<Item = String> {
+        (0..self.plan.speeds.len()).map(|i| format!("b{i}"))
+    }
+
     /// Starts that backend servers recorded, by `job task`.
     pub fn starts(&self) -> IndexMap<String, u32> {
-        let text = fs::read_to_string(self.dir.join("starts")).unwrap_or_default();
         let mut starts = IndexMap::new();
-        for line in text.lines() {
-            let id = line.rsplit_once(' ').map_or(line, |(id, _)| id);
-            *starts.entry(id.to_owned()).or_default() += 1;
+        for name in self.backends() {
+            for line in self.journal(&name).lines() {
+                let id = line.rsplit_once(' ').map_or(line, |(id, _)| id);
+                *starts.entry(id.to_owned()).or_default() += 1;
+            }
         }
         starts
     }
+
+    /// Number of starts that a backend server recorded.
+    pub fn starts_at(&self, backend: &str) -> usize {
+        self.journal(backend).lines().count()
+    }
+
+    fn journal(&self, backend: &str) -> String {
+        fs::read_to_string(self.dir.join(format!("starts-{backend}"))).unwrap_or_default()
+    }
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod bounds;
 pub mod caller;
 pub mod flood;
+pub mod forwarder;
 pub mod ideal;
 pub mod lab;
 pub mod replay;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use rw_load::{bench, bounds, caller, flood, replay, slopes, soak};
+use rw_load::soak::Soak;
+use rw_load::{bench, bounds, caller, flood, replay, slopes};
 
 fn main() -> ExitCode {
     match run(&command().get_matches()) {
@@ -52,14 +53,10 @@
         )
         .subcommand(
             Command::new("soak")
-                .about("A fault run: kills and freezes under load")
-                .arg(
-                    Arg::new("seconds")
-                        .long("seconds")
-                        .default_value("300")
-                        .value_parser(value_parser!(u64))
-                        .help("How long"),
-                ),
+                .about("Faults from outside on real processes under load, by seeds")
+                .arg(number("seed", "The first seed", "1"))
+                .arg(number("seeds", "How many seeds, one after another", "1"))
+                .arg(number("seconds", "How long faults strike in each", "20")),
         )
         .subcommand(
             Command::new("slopes")
@@ -68,6 +65,27 @@
         )
 }
 
+fn number(name: &'static str, help: &'static str, default: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
+/// Runs soaks; one line of figures each. `false` when a promise was broken.
+fn soak_seeds(args: &ArgMatches) -> io::Result<bool> {
+    let get = |name: &str| args.get_one(name).copied().unwrap_or(1_u64);
+    let mut held = true;
+    for seed in get("seed")..get("seed") + get("seeds") {
+        let time = Duration::from_secs(get("seconds"));
+        let report = Soak { seed, time }.run()?;
+        println!("{}", serde_json::to_string(&report)?);
+        held &= report.violations.is_empty();
+    }
+    Ok(held)
+}
+
 /// Runs a subcommand. `false` when a stated outcome was not met.
 fn run(matches: &ArgMatches) -> io::Result<bool> {
     match matches.subcommand() {
@@ -103,12 +121,7 @@
                 println!("{}", slopes::run(workers)?);
             }
         }
-        Some(("soak", args)) => {
-            let seconds = args.get_one("seconds").copied().unwrap_or(300);
-            let report = soak::run(Duration::from_secs(seconds), 300.0, 1)?;
-            println!("{}", serde_json::to_string(&report)?);
-            return Ok(report.holds());
-        }
+        Some(("soak", args)) => return soak_seeds(args),
         Some(("replay", args)) => {
             let path = args.get_one::<PathBuf>("file").cloned().unwrap_or_default();
             let differences = replay::run(&path)?;
--- /dev/null
+++ b/crates/load/src/soak/faults.rs
@@ -0,0 +1,355 @@
+//! Faults by a seed: what strikes which process when, in series and overlapping, and what ends it.
+
+use std::fs::{self, OpenOptions};
+use std::io::{self, Write};
+use std::time::Duration;
+
+use fastrand::Rng;
+use indexmap::IndexMap;
+use rustix::process::{Pid, Resource, Rlimit, Signal, prlimit};
+
+use crate::forwarder::Trouble;
+use crate::lab::Lab;
+
+use super::{CONTROLS, ENTRIES, WORKERS};
+
+/// Pauses between two faults, and how long one lasts, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 250..1300;
+const LAST_MS: std::ops::Range<u64> = 100..2600;
+/// Chance that a fault strikes again once it has ended, and the pause before.
+const SERIES: f64 = 0.3;
+const SERIES_PAUSE: Duration = Duration::from_millis(300);
+/// Faults at once.
+const MAX_AT_ONCE: usize = 3;
+/// A process that was told to end has ended within this time: the longest deadline and a margin.
+const END_TIME: Duration = Duration::from_secs(9);
+/// A shutdown is judged only if nothing else struck from this long before it to its end.
+const CALM: Duration = Duration::from_secs(4);
+/// Faults of storage come one at a time with this time between: a lost disk has to be replaced by a
+/// majority of the others before the next one may be lost.
+const STORAGE_PAUSE: Duration = Duration::from_secs(6);
+/// Bytes that a control node may still write before its limit ends it.
+const SPARE_BYTES: std::ops::Range<u64> = 1..600;
+const TORN_BYTES: std::ops::Range<usize> = 1..24;
+
+/// What strikes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Kind {
+    Link(Trouble),
+    Resets,
+    Freeze,
+    Kill,
+    Stop,
+    /// A control node is killed while it writes; its journal ends in the middle of a record.
+    TornWrite,
+    /// A control node's writes fail from a number of bytes on.
+    FailedWrite,
+    /// A control node comes back with an empty folder.
+    LostFolder,
+}
+
+impl Kind {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Link(Trouble::Delay(_)) => "link delayed",
+            Self::Link(Trouble::HoldIn) => "link cut inwards",
+            Self::Link(Trouble::HoldOut) => "link cut outwards",
+            Self::Link(Trouble::Silence) => "link silent",
+            Self::Resets => "links reset",
+            Self::Freeze => "frozen",
+            Self::Kill => "killed",
+            Self::Stop => "told to end",
+            Self::TornWrite => "killed with a torn write",
+            Self::FailedWrite => "writes fail",
+            Self::LostFolder => "folder lost",
+        }
+    }
+
+    fn strikes_storage(self) -> bool {
+        matches!(self, Self::TornWrite | Self::FailedWrite | Self::LostFolder)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Active {
+    kind: Kind,
+    node: String,
+    from: Duration,
+    until: Duration,
+}
+
+/// A fault that was brought about and has ended.
+#[derive(Clone, Debug)]
+struct Past {
+    kind: Kind,
+    node: String,
+    from: Duration,
+    until: Duration,
+}
+
+/// An orderly end of an entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    /// The entry's number.
+    pub entry: usize,
+    /// When it was told, after the start of the load.
+    pub at: Duration,
+}
+
+/// The faults of one soak.
+#[derive(Debug)]
+pub struct Faults {
+    rng: Rng,
+    next: Duration,
+    active: Vec<Active>,
+    past: Vec<Past>,
+    /// Faults that strike again at a time.
+    again: Vec<(Duration, Kind, String)>,
+    storage_after: Duration,
+    /// Faults by kind.
+    pub counts: IndexMap<String, usize>,
+    /// What struck, when.
+    pub events: Vec<(Duration, String)>,
+    /// Processes that did not end when they were told to.
+    pub violations: Vec<String>,
+}
+
+impl Faults {
+    /// None yet.
+    pub fn new(rng: Rng) -> Self {
+        Self {
+            rng,
+            next: Duration::from_millis(500),
+            active: Vec::new(),
+            past: Vec::new(),
+            again: Vec::new(),
+            storage_after: Duration::from_secs(2),
+            counts: IndexMap::new(),
+            events: Vec::new(),
+            violations: Vec::new(),
+        }
+    }
+
+    /// Ends what is over and brings about what is due.
+    pub fn step(&mut self, now: Duration, lab: &mut Lab) -> io::Result<()> {
+        self.end_due(now, lab, false)?;
+        let due = self.again.iter().position(|(at, ..)| now >= *at);
+        if let Some(i) = due {
+            let (_, kind, node) = self.again.swap_remove(i);
+            self.strike(now, kind, node, lab)?;
+        }
+        if now >= self.next {
+            self.next = now + Duration::from_millis(self.rng.u64(PAUSE_MS));
+            if self.active.len() < MAX_AT_ONCE {
+                let (kind, node) = self.draw();
+                self.strike(now, kind, node, lab)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all faults and waits until every process runs.
+    pub fn heal(&mut self, now: Duration, lab: &mut Lab) -> io::Result<()> {
+        self.again.clear();
+        self.end_due(now, lab, true)
+    }
+
+    fn draw(&mut self) -> (Kind, String) {
+        let rng = &mut self.rng;
+        let node = match rng.u32(0..10) {
+            0..3 => format!("e{}", rng.usize(0..ENTRIES)),
+            3..6 => format!("c{}", rng.usize(0..CONTROLS)),
+            6..9 => format!("w{}", rng.usize(0..WORKERS)),
+            _ => format!("b{}", rng.usize(0..WORKERS)),
+        };
+        let delay = Trouble::Delay(Duration::from_millis(rng.u64(5..120)));
+        let kinds: &[Kind] = match &node[..1] {
+            "b" => &[Kind::Freeze, Kind::Kill],
+            "c" => &[
+                Kind::Link(delay),
+                Kind::Link(Trouble::HoldIn),
+                Kind::Link(Trouble::HoldOut),
+                Kind::Link(Trouble::Silence),
+                Kind::Resets,
+                Kind::Freeze,
+                Kind::Kill,
+                Kind::TornWrite,
+                Kind::FailedWrite,
+                Kind::LostFolder,
+            ],
+            _ => &[
+                Kind::Link(delay),
+                Kind::Link(Trouble::HoldIn),
+                Kind::Link(Trouble::HoldOut),
+                Kind::Link(Trouble::Silence),
+                Kind::Resets,
+                Kind::Freeze,
+                Kind::Kill,
+                Kind::Stop,
+            ],
+        };
+        (kinds[rng.usize(0..kinds.len())], node)
+    }
+
+    /// Whether the fault may strike beside the present ones.
+    fn may_strike(&self, now: Duration, kind: Kind, node: &str) -> bool {
+        let busy = self.active.iter().any(|active| active.node == node);
+        let others = |active: &Active| active.node.starts_with('c');
+        let storage = self
+            .active
+            .iter()
+            .any(|active| active.kind.strikes_storage());
+        let control = node.starts_with('c');
+        // While a disk is lost or damaged, the other control nodes have to be sound.
+        let alone =
+            kind.strikes_storage() && (now < self.storage_after || self.active.iter().any(others));
+        let harmed = control && (storage || now < self.storage_after.saturating_sub(CALM));
+        !busy && !alone && !harmed
+    }
+
+    fn strike(&mut self, now: Duration, kind: Kind, node: String, lab: &mut Lab) -> io::Result<()> {
+        if !self.may_strike(now, kind, &node) {
+            return Ok(());
+        }
+        match kind {
+            Kind::Link(trouble) => {
+                if let Some(forwarder) = lab.forwarder(&node) {
+                    forwarder.set(Some(trouble));
+                }
+            }
+            Kind::Resets => {
+                if let Some(forwarder) = lab.forwarder(&node) {
+                    forwarder.reset();
+                }
+            }
+            Kind::Freeze => lab.signal(&node, Signal::STOP),
+            Kind::Kill | Kind::LostFolder | Kind::TornWrite => lab.kill(&node),
+            Kind::Stop => lab.signal(&node, Signal::TERM),
+            Kind::FailedWrite => self.limit_writes(&node, lab)?,
+        }
+        match kind {
+            Kind::TornWrite => self.tear(&node, lab)?,
+            Kind::LostFolder => empty(&lab.data(&node))?,
+            _ => {}
+        }
+        let last = Duration::from_millis(self.rng.u64(LAST_MS));
+        let until = now + if kind == Kind::Stop { END_TIME } else { last };
+        if kind.strikes_storage() {
+            self.storage_after = until + STORAGE_PAUSE;
+        }
+        *self.counts.entry(kind.name().into()).or_default() += 1;
+        self.events.push((now, format!("{node}: {}", kind.name())));
+        self.active.push(Active {
+            kind,
+            node,
+            from: now,
+            until,
+        });
+        Ok(())
+    }
+
+    fn end_due(&mut self, now: Duration, lab: &mut Lab, all: bool) -> io::Result<()> {
+        for active in std::mem::take(&mut self.active) {
+            let stopped = active.kind == Kind::Stop && !lab.is_running(&active.node);
+            let waits = active.kind == Kind::Stop && !stopped && now < active.until;
+            if waits && all {
+                lab.wait_end(&active.node, active.until.saturating_sub(now));
+            } else if !stopped && now < active.until && !all {
+                self.active.push(active);
+                continue;
+            }
+            self.end(now, active, lab)?;
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, now: Duration, active: Active, lab: &mut Lab) -> io::Result<()> {
+        let Active { kind, node, .. } = &active;
+        match kind {
+            Kind::Link(_) => {
+                if let Some(forwarder) = lab.forwarder(node) {
+                    forwarder.set(None);
+                }
+            }
+            Kind::Resets => {}
+            Kind::Freeze => lab.signal(node, Signal::CONT),
+            Kind::Stop => {
+                if lab.is_running(node) {
+                    let violation = format!("{node} did not end within {END_TIME:?}");
+                    self.violations.push(violation);
+                }
+                restart(node, lab)?;
+            }
+            Kind::Kill | Kind::TornWrite | Kind::FailedWrite | Kind::LostFolder => {
+                restart(node, lab)?;
+            }
+        }
+        self.events
+            .push((now, format!("{node}: no longer {}", kind.name())));
+        if self.rng.f64() < SERIES {
+            self.again.push((now + SERIES_PAUSE, *kind, node.clone()));
+        }
+        self.past.push(Past {
+            kind: active.kind,
+            node: active.node,
+            from: active.from,
+            until: now,
+        });
+        Ok(())
+    }
+
+    /// A process of which writes beyond some bytes from now on fail: the kernel ends it there.
+    fn limit_writes(&mut self, node: &str, lab: &Lab) -> io::Result<()> {
+        let written = fs::metadata(lab.data(node).join("journal")).map_or(0, |meta| meta.len());
+        let limit = Some(written + self.rng.u64(SPARE_BYTES));
+        let pid = lab.pid(node).and_then(|pid| Pid::from_raw(pid as i32));
+        let limits = Rlimit {
+            current: limit,
+            maximum: limit,
+        };
+        prlimit(pid, Resource::Fsize, limits)?;
+        Ok(())
+    }
+
+    /// Appends part of a record that was never synced, as a write leaves it that power cut off.
+    fn tear(&mut self, node: &str, lab: &Lab) -> io::Result<()> {
+        let torn: Vec<u8> = (0..self.rng.usize(TORN_BYTES))
+            .map(|_| self.rng.u8(..))
+            .collect();
+        let path = lab.data(node).join("journal");
+        OpenOptions::new().append(true).open(path)?.write_all(&torn)
+    }
+
+    /// Orderly ends of entries with no other fault near.
+    pub fn calm_stops(&self) -> Vec<Stop> {
+        let is_stop = |past: &&Past| past.kind == Kind::Stop && past.node.starts_with('e');
+        let calm = |stop: &&Past| {
+            let near = |other: &&Past| {
+                let same = other.node == stop.node && other.from == stop.from;
+                !same && other.until + CALM > stop.from && other.from <= stop.until
+            };
+            !self.past.iter().any(|other| near(&other))
+        };
+        let stops = self.past.iter().filter(is_stop).filter(calm);
+        let stops = stops.filter_map(|stop| {
+            Some(Stop {
+                entry: stop.node[1..].parse().ok()?,
+                at: stop.from,
+            })
+        });
+        stops.collect()
+    }
+}
+
+fn restart(node: &str, lab: &mut Lab) -> io::Result<()> {
+    lab.kill(node);
+    match node.strip_prefix('b').and_then(|i| i.parse().ok()) {
+        Some(i) => lab.start_backend(i, &[]),
+        None => lab.start_node(node),
+    }
+}
+
+fn empty(folder: &std::path::Path) -> io::Result<()> {
+    fs::remove_dir_all(folder)?;
+    fs::create_dir_all(folder)
+}
