Daemons serve HTTP on a thread for each connection; what was sent is read

Cause: the request had never been read. The pool of the HTTP library's server hands connections that arrive at once to threads that are already busy, and one that is left over waits until another connection ends; callers that keep theirs do not end them. So a caller could wait without bound also with nothing wrong (seen as jobs "unknown" of callers that kept connections). Operators' calls went through the same server. What was ruled out: the entry's count of requests under way (the job has no line in its log, it was never taken), the end of the drain. Change: the product's own accept loop with a thread a connection, at most as many as the daemon's limit, on the parser that the pooled daemons have; requests that trickle end after 5 s, idle connections after 30 s, or 2 s while half of the limit is open; an answer counts as pending until it is written. Types of requests and responses stay `rouille`'s.

--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -11,8 +11,8 @@
 
 use crate::duty::Event;
 
-/// Requests served at once.
-pub const HTTP_THREADS: usize = 16;
+/// Connections that are open at once; more are refused.
+pub const HTTP_CONNECTIONS: usize = 64;
 const MAX_ANNOUNCEMENT_BYTES: usize = 16 * 1024;
 const REPLY_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/crates/agent/src/duty.rs
+++ b/crates/agent/src/duty.rs
@@ -102,7 +102,7 @@
     } = daemon;
     let ready = Arc::new(AtomicBool::new(false));
     let (http_tx, http_ready, http_cluster) = (tx.clone(), ready.clone(), cluster.clone());
-    http::serve(node.http, announce::HTTP_THREADS, move |req| {
+    http::serve(node.http, announce::HTTP_CONNECTIONS, move |req| {
         announce::handle(
             req,
             &http_tx,
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -16,8 +16,8 @@
 
 use crate::duty::Event;
 
-/// Requests served at once.
-pub const HTTP_THREADS: usize = 32;
+/// Connections that are open at once; more are refused.
+pub const HTTP_CONNECTIONS: usize = 128;
 const MAX_CHANGE_BYTES: usize = 256 * 1024;
 /// Time that a change may take to be committed.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/control/src/duty/start.rs
+++ b/crates/control/src/duty/start.rs
@@ -106,7 +106,7 @@
         token_hashes: operator_token_hashes.into(),
         ready: ready.clone(),
     };
-    http::serve(node.http, api::HTTP_THREADS, move |req| api.handle(req))?;
+    http::serve(node.http, api::HTTP_CONNECTIONS, move |req| api.handle(req))?;
     let duty = Duty {
         raft,
         store,
--- a/crates/control/src/pooled.rs
+++ b/crates/control/src/pooled.rs
@@ -13,8 +13,8 @@
 use crate::operations::{Operations, OperatorPort};
 use crate::store::Store;
 
-/// Requests of operators that are served at once.
-const OPERATOR_THREADS: usize = 12;
+/// Connections of operators that are open at once; more are refused.
+const OPERATOR_CONNECTIONS: usize = 64;
 
 /// How the daemon starts.
 pub struct ControlSetup {
@@ -61,7 +61,7 @@
     )?;
     let operations = Operations::new(tx);
     let port = setup.port;
-    http::serve(setup.operators, OPERATOR_THREADS, move |req| {
+    http::serve(setup.operators, OPERATOR_CONNECTIONS, move |req| {
         port.handle(req, &operations)
     })?;
     rw_host::link::spawn("reload", move || {
--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -112,7 +112,7 @@
         cluster: cluster.clone(),
         ready: ready.clone(),
     };
-    // More threads than callers, so that a refusal never waits for a thread.
+    // Connections that wait for their next request count too, so there may be more than callers.
     let pending = http::serve(node.http, entry.max_callers * 2, move |req| api.handle(req))?;
     let me = linker.hello.node.clone();
     let duty = Duty {
--- a/crates/host/src/http.rs
+++ b/crates/host/src/http.rs
@@ -1,86 +1,17 @@
 //! HTTP that all daemons serve: health, readiness, metrics, problems, bounded bodies.
 
-use std::io::{self, Cursor, Read};
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+mod server;
 
-use rouille::{Request, Response, ResponseBody, Server};
+use std::io::Read;
+
+use rouille::{Request, Response};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::cluster::Cluster;
-use crate::link::spawn;
 use crate::metrics;
 
-/// Counts responses that are not yet written in full.
-#[derive(Clone, Debug, Default)]
-pub struct Pending(Arc<AtomicUsize>);
-
-impl Pending {
-    /// Responses under way.
-    pub fn count(&self) -> usize {
-        self.0.load(Ordering::Acquire)
-    }
-
-    fn guard(&self) -> PendingGuard {
-        self.0.fetch_add(1, Ordering::AcqRel);
-        PendingGuard(self.clone())
-    }
-}
-
-struct PendingGuard(Pending);
-
-impl Drop for PendingGuard {
-    fn drop(&mut self) {
-        self.0.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
-/// A response body that counts as pending until it is dropped.
-struct GuardedBody {
-    body: Cursor<Vec<u8>>,
-    _guard: PendingGuard,
-}
-
-impl Read for GuardedBody {
-    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
-        self.body.read(buf)
-    }
-}
-
-/// Serves HTTP in threads of its own, with at most `threads` requests at once.
-pub fn serve<F>(addr: SocketAddr, threads: usize, handler: F) -> io::Result<Pending>
-where
-    F: Fn(&Request) -> Response + Send + Sync + 'static,
-{
-    let pending = Pending::default();
-    let counted = pending.clone();
-    let respond = move |req: &Request| {
-        let guard = counted.guard();
-        guard_body(handler(req), guard)
-    };
-    let server = Server::new(addr, respond)
-        .map_err(|e| io::Error::new(io::ErrorKind::AddrInUse, e.to_string()))?
-        .pool_size(threads);
-    spawn("http", move || server.run());
-    Ok(pending)
-}
-
-fn guard_body(mut response: Response, guard: PendingGuard) -> Response {
-    let (mut reader, _) = response.data.into_reader_and_size();
-    let mut body = Vec::new();
-    if reader.read_to_end(&mut body).is_err() {
-        body.clear();
-    }
-    let len = body.len();
-    let guarded = GuardedBody {
-        body: Cursor::new(body),
-        _guard: guard,
-    };
-    response.data = ResponseBody::from_reader_and_size(guarded, len);
-    response
-}
+pub use server::{Pending, serve};
 
 /// Answers the paths that all daemons have.
 pub fn common(req: &Request, ready: bool, cluster: &Cluster) -> Option<Response> {
--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -20,6 +20,7 @@
 use rw_core::pool::Uptime;
 
 pub use http::{HttpLimits, HttpRequest, HttpResponse, request_bytes};
+pub(crate) use http::{Parsed, parse_request, response_bytes};
 
 use conn::{Conn, Role};
 
--- a/crates/host/src/net/http.rs
+++ b/crates/host/src/net/http.rs
@@ -94,7 +94,7 @@
 }
 
 /// What a buffer holds.
-pub(super) enum Parsed<T> {
+pub(crate) enum Parsed<T> {
     /// Not a whole message yet.
     More,
     /// A message, the bytes that it took, and whether the connection ends after it.
@@ -104,7 +104,7 @@
 }
 
 /// Reads a request.
-pub(super) fn parse_request(buf: &[u8], limits: &HttpLimits) -> Parsed<HttpRequest> {
+pub(crate) fn parse_request(buf: &[u8], limits: &HttpLimits) -> Parsed<HttpRequest> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut req = httparse::Request::new(&mut headers);
     let head = match req.parse(buf) {
@@ -235,7 +235,7 @@
 }
 
 /// The bytes of a response.
-pub(super) fn response_bytes(response: &HttpResponse, close: bool, buf: &mut Vec<u8>) {
+pub(crate) fn response_bytes(response: &HttpResponse, close: bool, buf: &mut Vec<u8>) {
     let reason = match response.status {
         200 => "OK",
         307 => "Temporary Redirect",
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use rw_load::soak::Soak;
 use rw_load::{bench, bounds, caller, flood, replay, slopes};
 
@@ -56,7 +56,13 @@
                 .about("Faults from outside on real processes under load, by seeds")
                 .arg(number("seed", "The first seed", "1"))
                 .arg(number("seeds", "How many seeds, one after another", "1"))
-                .arg(number("seconds", "How long faults strike in each", "20")),
+                .arg(number("seconds", "How long faults strike in each", "20"))
+                .arg(
+                    Arg::new("trace")
+                        .long("trace")
+                        .action(ArgAction::SetTrue)
+                        .help("Print what struck when, also if all promises held"),
+                ),
         )
         .subcommand(
             Command::new("slopes")
@@ -79,7 +85,8 @@
     let mut held = true;
     for seed in get("seed")..get("seed") + get("seeds") {
         let time = Duration::from_secs(get("seconds"));
-        let report = Soak { seed, time }.run()?;
+        let trace = args.get_flag("trace");
+        let report = Soak { seed, time, trace }.run()?;
         println!("{}", serde_json::to_string(&report)?);
         held &= report.violations.is_empty();
     }
--- a/crates/load/src/soak.rs
+++ b/crates/load/src/soak.rs
@@ -41,6 +41,8 @@
     pub seed: u64,
     /// Time under faults.
     pub time: Duration,
+    /// Print what struck when, also if all promises held.
+    pub trace: bool,
 }
 
 /// What a soak came to.
@@ -114,10 +116,12 @@
         judge::shutdowns(&tries, &faults, &mut report);
         report.violations.extend(faults.violations.iter().cloned());
         report.faults.clone_from(&faults.counts);
-        if !report.violations.is_empty() {
+        if self.trace || !report.violations.is_empty() {
             for (at, what) in &faults.events {
                 eprintln!("{:7.3} s {what}", at.as_secs_f64());
             }
+        }
+        if !report.violations.is_empty() {
             report.folder = Some(lab.keep());
         }
         Ok(report)
--- a/crates/load/src/soak/faults.rs
+++ b/crates/load/src/soak/faults.rs
@@ -31,6 +31,9 @@
 /// Bytes that a control node may still write before its limit ends it.
 const SPARE_BYTES: std::ops::Range<u64> = 1..600;
 const TORN_BYTES: std::ops::Range<usize> = 1..24;
+/// Names for all processes of a kind, which are struck at the same moment.
+const ALL_CONTROLS: &str = "controls";
+const ALL_AGENTS: &str = "workers";
 
 /// What strikes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -158,12 +161,15 @@
         let rng = &mut self.rng;
         let node = match rng.u32(0..10) {
             0..3 => format!("e{}", rng.usize(0..ENTRIES)),
+            3..6 if rng.u32(0..8) == 0 => ALL_CONTROLS.into(),
             3..6 => format!("c{}", rng.usize(0..CONTROLS)),
+            6..9 if rng.u32(0..16) == 0 => ALL_AGENTS.into(),
             6..9 => format!("w{}", rng.usize(0..WORKERS)),
             _ => format!("b{}", rng.usize(0..WORKERS)),
         };
         let delay = Trouble::Delay(Duration::from_millis(rng.u64(5..120)));
         let kinds: &[Kind] = match &node[..1] {
+            _ if node == ALL_CONTROLS || node == ALL_AGENTS => &[Kind::Freeze, Kind::Kill],
             "b" => &[Kind::Freeze, Kind::Kill],
             "c" => &[
                 Kind::Link(delay),
@@ -193,7 +199,11 @@
 
     /// Whether the fault may strike beside the present ones.
     fn may_strike(&self, now: Duration, kind: Kind, node: &str) -> bool {
-        let busy = self.active.iter().any(|active| active.node == node);
+        let struck = processes(node);
+        let busy = self.active.iter().any(|active| {
+            let processes = processes(&active.node);
+            processes.iter().any(|process| struck.contains(process))
+        });
         let others = |active: &Active| active.node.starts_with('c');
         let storage = self
             .active
@@ -222,8 +232,16 @@
                     forwarder.reset();
                 }
             }
-            Kind::Freeze => lab.signal(&node, Signal::STOP),
-            Kind::Kill | Kind::LostFolder | Kind::TornWrite => lab.kill(&node),
+            Kind::Freeze => {
+                for process in processes(&node) {
+                    lab.signal(&process, Signal::STOP);
+                }
+            }
+            Kind::Kill | Kind::LostFolder | Kind::TornWrite => {
+                for process in processes(&node) {
+                    lab.kill(&process);
+                }
+            }
             Kind::Stop => lab.signal(&node, Signal::TERM),
             Kind::FailedWrite => self.limit_writes(&node, lab)?,
         }
@@ -272,7 +290,11 @@
                 }
             }
             Kind::Resets => {}
-            Kind::Freeze => lab.signal(node, Signal::CONT),
+            Kind::Freeze => {
+                for process in processes(node) {
+                    lab.signal(&process, Signal::CONT);
+                }
+            }
             Kind::Stop => {
                 if lab.is_running(node) {
                     let violation = format!("{node} did not end within {END_TIME:?}");
@@ -341,12 +363,24 @@
     }
 }
 
+/// The processes that a name stands for.
+fn processes(node: &str) -> Vec<String> {
+    match node {
+        ALL_CONTROLS => (0..CONTROLS).map(|i| format!("c{i}")).collect(),
+        ALL_AGENTS => (0..WORKERS).map(|i| format!("w{i}")).collect(),
+        one => vec![one.into()],
+    }
+}
+
 fn restart(node: &str, lab: &mut Lab) -> io::Result<()> {
-    lab.kill(node);
-    match node.strip_prefix('b').and_then(|i| i.parse().ok()) {
-        Some(i) => lab.start_backend(i, &[]),
-        None => lab.start_node(node),
+    for process in processes(node) {
+        lab.kill(&process);
+        match process.strip_prefix('b').and_then(|i| i.parse().ok()) {
+            Some(i) => lab.start_backend(i, &[])?,
+            None => lab.start_node(&process)?,
+        }
     }
+    Ok(())
 }
 
 fn empty(folder: &std::path::Path) -> io::Result<()> {
--- a/crates/load/tests/soak.rs
+++ b/crates/load/tests/soak.rs
@@ -6,7 +6,8 @@
 
 fn holds(seed: u64) {
     let time = Duration::from_secs(8);
-    let report = Soak { seed, time }.run().expect("the soak runs");
+    let trace = true;
+    let report = Soak { seed, time, trace }.run().expect("the soak runs");
     assert!(report.violations.is_empty(), "{report:?}");
     assert!(report.whole > 0, "{report:?}");
     assert!(report.reads > 0 && report.changes > 0, "{report:?}");
