--- a/Makefile
+++ b/Makefile
@@ -16,11 +16,12 @@
 	@echo "known faults that the run passes over:"
 	@grep -v '^#' KNOWN-RED.txt || echo "none"
 
-# A million steps a core for each property, with other seeds.
-soak:
+# A million steps a core for each property, with other seeds; then faults on real processes.
+soak: build
 	for seed in 1 2 3 4 5 6; do \
 	    RW_STEPS=1000000 RW_SEED=$$seed cargo test --release -p rw-core --tests || exit 1; \
 	done
+	target/release/rw-load soak --seeds 10
 
 bench: build
 	target/release/rw-load bench
--- a/crates/load/src/bench.rs
+++ b/crates/load/src/bench.rs
@@ -1,5 +1,7 @@
 //! The four measures for each dispatch policy, on one load, in one run.
 
+mod counters;
+
 use std::io;
 use std::time::Duration;
 
@@ -10,6 +12,8 @@
 use crate::lab::{Lab, Plan};
 use crate::workload;
 
+use counters::Counters;
+
 /// Speeds of the workers: 11, spread 1:3.
 pub const SPEEDS: [f64; 11] = [0.6, 0.7, 0.8, 0.9, 1.0, 1.0, 1.1, 1.2, 1.4, 1.6, 1.8];
 const SLOTS: u32 = 8;
@@ -295,71 +299,6 @@
     );
 }
 
-/// Messages between processes and processor time so far.
-struct Counters {
-    started: f64,
-    wasted: f64,
-    kinds: Vec<(&'static str, f64)>,
-    entry_us: f64,
-    agent_us: f64,
-}
-
-const WASTED_KINDS: [&str; 11] = [
-    "ping", "offer", "grant", "recall", "want", "return", "claim", "claimed", "refused", "peer",
-    "datagram",
-];
-
-impl Counters {
-    fn read(lab: &Lab) -> Self {
-        let nodes: Vec<String> = lab
-            .running()
-            .into_iter()
-            .filter(|name| name.starts_with(['e', 'w']))
-            .collect();
-        let sum = |kind: &str| -> f64 {
-            let label = format!("kind=\"{kind}\"");
-            nodes
-                .iter()
-                .map(|node| lab.metric(node, "rw_messages_sent_total", &label))
-                .sum()
-        };
-        let datagrams = || {
-            nodes
-                .iter()
-                .map(|n| lab.metric(n, "rw_datagrams_sent_total", ""))
-                .sum()
-        };
-        let count = |kind: &'static str| {
-            (
-                kind,
-                if kind == "datagram" {
-                    datagrams()
-                } else {
-                    sum(kind)
-                },
-            )
-        };
-        let kinds: Vec<(&'static str, f64)> = WASTED_KINDS.into_iter().map(count).collect();
-        let cpu = |letter: char| -> f64 {
-            let of = nodes.iter().filter(|name| name.starts_with(letter));
-            of.map(|name| lab.cpu(name).as_micros() as f64).sum()
-        };
-        // Membership is the same with and without load; it is given by itself.
-        let wasted = kinds
-            .iter()
-            .filter(|(kind, _)| *kind != "datagram")
-            .map(|(_, n)| n)
-            .sum();
-        Self {
-            started: sum("start"),
-            wasted,
-            kinds,
-            entry_us: cpu('e'),
-            agent_us: cpu('w'),
-        }
-    }
-}
-
 fn crest(lab: &Lab, line: &mut Line) {
     warm_up(lab);
     let jobs = workload::crest(SEED, 0.3 * capacity(), 3.0 * capacity(), 2, CREST_DEADLINE);
