--- /dev/null
+++ b/crates/core/src/members/probing.rs
@@ -0,0 +1,177 @@
+//! Whom to ask for signs of life, and what follows from silence.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use super::{
+    DIRECT_TIMEOUT, INDIRECT_PROBES, INTRODUCTIONS, JOIN_INTERVAL, JOIN_TIME, Known, MemberState,
+    Members, Outgoing, Outstanding, PROBE_INTERVAL, Probe, REVIVE_EVERY, SUSPECT_INTERVAL,
+    SUSPECT_TIMEOUT, TOMBSTONE_TIME,
+};
+use crate::ids::Name;
+
+impl Members {
+    pub(super) fn check_outstanding(&mut self, now: Instant) -> Vec<Outgoing> {
+        let Some(probe) = &mut self.outstanding else {
+            return Vec::new();
+        };
+        let waited = now.duration_since(probe.sent);
+        if waited >= PROBE_INTERVAL {
+            let target = probe.target.clone();
+            self.outstanding = None;
+            self.suspect(now, &target);
+            return Vec::new();
+        }
+        if waited < DIRECT_TIMEOUT || probe.indirect {
+            return Vec::new();
+        }
+        probe.indirect = true;
+        let (seq, target) = (probe.seq, probe.target.clone());
+        let Some(address) = self.table.get(&target).map(|known| known.member.gossip) else {
+            return Vec::new();
+        };
+        let mut helpers: Vec<SocketAddr> = self
+            .living()
+            .filter(|m| m.node.name != target)
+            .map(|m| m.gossip)
+            .collect();
+        self.rng.shuffle(&mut helpers);
+        helpers.truncate(INDIRECT_PROBES);
+        let relay = |to| (to, self.datagram(seq, Probe::Relay(address), Vec::new()));
+        helpers.into_iter().map(relay).collect()
+    }
+
+    pub(super) fn suspect(&mut self, now: Instant, name: &Name) {
+        let spread = self.spread_count();
+        if let Some(known) = self.table.get_mut(name)
+            && known.member.state == MemberState::Alive
+        {
+            known.member.state = MemberState::Suspect;
+            known.since = now;
+            known.spread = spread;
+            self.generation += 1;
+        }
+    }
+
+    pub(super) fn check_suspects(&mut self, now: Instant) {
+        let spread = self.spread_count();
+        let mut changed = false;
+        for known in self.table.values_mut() {
+            let waited = now.duration_since(known.since);
+            if known.member.state == MemberState::Suspect && waited >= SUSPECT_TIMEOUT {
+                known.member.state = MemberState::Dead;
+                known.since = now;
+                known.spread = spread;
+                changed = true;
+            }
+        }
+        let before = self.table.len();
+        self.table.retain(|_, known| {
+            known.member.state != MemberState::Dead
+                || now.duration_since(known.since) < TOMBSTONE_TIME
+        });
+        if changed || self.table.len() != before {
+            self.generation += 1;
+        }
+    }
+
+    pub(super) fn probe(&mut self, now: Instant) -> Vec<Outgoing> {
+        let mut out = Vec::new();
+        if self.next_seq.is_multiple_of(REVIVE_EVERY) || self.living().next().is_none() {
+            out.extend(self.revive());
+        }
+        if self.outstanding.is_some() {
+            return out;
+        }
+        while let Some(name) = self.next_target() {
+            let Some(known) = self.table.get(&name) else {
+                continue;
+            };
+            if known.member.state == MemberState::Dead {
+                continue;
+            }
+            let to = known.member.gossip;
+            let ping = self.ping(Some(&name));
+            self.outstanding = Some(Outstanding {
+                seq: ping.seq,
+                target: name,
+                sent: now,
+                indirect: false,
+            });
+            out.push((to, ping));
+            break;
+        }
+        out
+    }
+
+    /// The next member of a shuffled round over all members.
+    fn next_target(&mut self) -> Option<Name> {
+        if self.order.is_empty() {
+            self.order = self.living().map(|m| m.node.name.clone()).collect();
+            self.rng.shuffle(&mut self.order);
+        }
+        self.order.pop()
+    }
+
+    /// Tells suspects what is said of them, again and again until their time is over, so that a
+    /// living one hears of it in time to refute it, whatever datagrams are lost.
+    pub(super) fn ask_suspects(&mut self, now: Instant) -> Vec<Outgoing> {
+        let mut due = Vec::new();
+        for (name, known) in &mut self.table {
+            let asked = known.asked.is_some_and(|at| now < at + SUSPECT_INTERVAL);
+            if known.member.state == MemberState::Suspect && !asked {
+                known.asked = Some(now);
+                due.push((name.clone(), known.member.gossip));
+            }
+        }
+        due.into_iter()
+            .map(|(name, to)| (to, self.ping(Some(&name))))
+            .collect()
+    }
+
+    /// Pings all seeds while this process is young or knows no other member, so that a cluster that
+    /// starts at once joins at once.
+    pub(super) fn join(&mut self, now: Instant) -> Vec<Outgoing> {
+        let young = now < *self.join_until.get_or_insert(now + JOIN_TIME);
+        let joining = young || self.living().next().is_none();
+        if !joining || self.next_join.is_some_and(|at| now < at) {
+            return Vec::new();
+        }
+        self.next_join = Some(now + JOIN_INTERVAL);
+        let me = self.me.gossip;
+        let seeds: Vec<SocketAddr> = self.seeds.iter().copied().filter(|s| *s != me).collect();
+        seeds.into_iter().map(|to| (to, self.ping(None))).collect()
+    }
+
+    /// Pings members that this entry has just heard of: they dial it once they have its record.
+    pub(super) fn introductions(&mut self) -> Vec<Outgoing> {
+        let rest = self.introduce.len().min(INTRODUCTIONS);
+        let new: Vec<SocketAddr> = self.introduce.drain(..rest).collect();
+        new.into_iter().map(|to| (to, self.ping(None))).collect()
+    }
+
+    /// Pings one dead member or unknown seed, so that healed partitions join again.
+    pub(super) fn revive(&mut self) -> Vec<Outgoing> {
+        let dead = |known: &&Known| known.member.state == MemberState::Dead;
+        let mut targets: Vec<(Option<Name>, SocketAddr)> = self
+            .table
+            .values()
+            .filter(dead)
+            .map(|known| (Some(known.member.node.name.clone()), known.member.gossip))
+            .collect();
+        let unknown_seed = |seed: &&SocketAddr| {
+            **seed != self.me.gossip && !self.table.values().any(|k| k.member.gossip == **seed)
+        };
+        targets.extend(
+            self.seeds
+                .iter()
+                .filter(unknown_seed)
+                .map(|seed| (None, *seed)),
+        );
+        let Some((name, to)) = self.rng.choice(targets) else {
+            self.next_seq += 1;
+            return Vec::new();
+        };
+        vec![(to, self.ping(name.as_ref()))]
+    }
+}
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod load;
 mod note;
+mod open_job;
 mod peers;
 mod place;
 mod runs;
@@ -16,11 +17,12 @@
 pub use note::{Action, Answer, Note, Placed};
 
 use load::PoolLoad;
+use open_job::{Hold, OpenJob, Rank, Task, TaskState, Tier};
 
 use super::Uptime;
 use super::catalog::Queue;
 use super::fleet::Fleet;
-use super::job::{Job, JobId, RunId, Step};
+use super::job::{Job, JobId, RunId};
 use super::msg::{Peer, ToAgent};
 use super::owners::Owners;
 use crate::ids::Name;
@@ -34,81 +36,6 @@
 /// The caller of a refused job is told to come back after this time when nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// What a task is doing.
-#[derive(Clone, Debug, PartialEq)]
-enum TaskState {
-    /// Waits for earlier steps, or for a worker.
-    Waiting,
-    /// Sent to a worker.
-    Sent { worker: Name, stopping: bool },
-    /// Done.
-    Done,
-}
-
-#[derive(Debug)]
-struct Task {
-    step: u16,
-    index: u16,
-    state: TaskState,
-    /// The latest attempt; 0 before the first.
-    attempt: u32,
-    /// The next attempt is above this.
-    floor: u32,
-    /// Runs that ended as failed.
-    failures: u32,
-    /// Runs that were stopped to start elsewhere.
-    moves: u32,
-    waiting_since: Uptime,
-}
-
-/// Why a job does not start yet.
-#[derive(Clone, Debug, PartialEq)]
-enum Hold {
-    /// Nothing holds it.
-    None,
-    /// Another entry has to yield it.
-    Yield(Name),
-    /// Earlier runs of it here are being stopped.
-    Stopping,
-}
-
-#[derive(Debug)]
-struct OpenJob {
-    spec: Job,
-    queue: Arc<Queue>,
-    callers: Vec<u64>,
-    arrived: Uptime,
-    /// Answers after this are late.
-    aim: Uptime,
-    /// The caller waits until then.
-    deadline: Uptime,
-    hold: Hold,
-    tasks: Vec<Task>,
-    /// Tasks not done, by step.
-    left: Vec<u16>,
-    /// Starts sent.
-    starts: u32,
-    rank: Rank,
-    /// The tier in which it last found no worker.
-    missed: Option<Tier>,
-}
-
-/// How waiting jobs are told apart; the first goes first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Tier {
-    /// Can meet its aim.
-    InTime,
-    /// Will be late, but part of it was sent: to end it costs less than to begin another job.
-    Begun,
-    /// Can meet its aim, but its queue takes more than its share of an overloaded pool.
-    AboveShare,
-    /// Is expected to miss its aim.
-    Late,
-}
-
-/// Order of waiting jobs: by tier, then by aim.
-type Rank = (Tier, Uptime, JobId);
-
 /// A run that was ordered to stop after its job was given up.
 #[derive(Debug)]
 struct Stopping {
@@ -505,33 +432,3 @@
         }
     }
 }
-
-impl OpenJob {
-    fn run(&self, task: &Task) -> RunId {
-        RunId {
-            task: super::job::TaskId {
-                job: self.spec.id,
-                step: task.step,
-                index: task.index,
-            },
-            attempt: task.attempt,
-        }
-    }
-
-    fn step(&self, task: &Task) -> &Step {
-        &self.spec.steps[usize::from(task.step)]
-    }
-
-    fn is_ready(&self, task: &Task) -> bool {
-        let step = self.step(task);
-        task.state == TaskState::Waiting
-            && step
-                .after
-                .iter()
-                .all(|i| self.left.get(usize::from(*i)) == Some(&0))
-    }
-
-    fn has_ready(&self) -> bool {
-        self.tasks.iter().any(|task| self.is_ready(task))
-    }
-}
