--- a/crates/control/src/event_loop.rs
+++ b/crates/control/src/event_loop.rs
@@ -1,13 +1,14 @@
 //! The control node's event loop: drives the replicated log, makes its records durable, sends its
 //! messages, and places the registry's shards.
 
+mod saving;
 mod start;
 
 pub use start::run;
-pub(crate) use start::{Peering, StartedNode, open_journal, start};
+pub(crate) use start::{Peering, StartedNode, open_journal, retry, start};
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use flume::{Receiver, RecvTimeoutError, Sender};
@@ -18,14 +19,16 @@
 use rw_core::msg::{Ask, AskReply, Msg, Role};
 use rw_core::placement;
 use rw_core::raft::{Effects, Raft, RaftRole, ReadRound};
+use rw_host::clock;
 use rw_host::cluster::{Cluster, ClusterEvent};
 use rw_host::daemon::DaemonEvent;
 use rw_host::dial::Dialer;
 use rw_host::link::{Link, LinkEvent};
 use rw_host::settings::SettingsError;
-use rw_host::{clock, metrics};
 use thiserror::Error;
 
+use saving::Unsaved;
+
 use crate::api::{ChangeReply, LogStatus, ReadReply, StateReply};
 use crate::store::{Store, StoreError};
 
@@ -46,9 +49,6 @@
 const REDIAL_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum time for a majority to confirm a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
-/// Number of bytes appended to the journal above which it is compacted to a snapshot. The limit is
-/// a twelfth of a small disk.
-const MAX_APPENDED_BYTES: u64 = 10 * 1024 * 1024;
 
 /// An event for the event loop.
 #[derive(Debug)]
@@ -108,6 +108,8 @@
     dialer: Option<Dialer>,
     /// Reads that wait for confirmation by a majority: the round, its start, and where to reply.
     pending_reads: Vec<(ReadRound, Instant, Sender<ReadReply>)>,
+    /// Effects whose records could not be saved; while there are some, the log stands still.
+    unsaved: Option<Unsaved>,
     links: IndexMap<u64, Link>,
     /// Link ids of the control nodes, by node name.
     control_links: IndexMap<Name, u64>,
@@ -147,14 +149,16 @@
                     None
                 };
             }
-            if now >= self.next_tick {
+            if self.unsaved.is_some() {
+                self.retry_saving(now)?;
+            } else if now >= self.next_tick {
                 self.next_tick = now + TICK_INTERVAL;
                 self.raft.tick(now, &mut effects);
                 self.pending_changes
                     .retain(|_, replies| replies.iter().any(|reply| !reply.is_disconnected()));
                 self.propose_placement(now, &mut effects);
             }
-            self.apply_effects(effects)?;
+            self.apply_effects(now, effects)?;
             self.answer_pending_reads(now);
             self.log_role_change();
         }
@@ -184,6 +188,10 @@
 
     /// Starts a round in which a majority confirms a read.
     fn on_read(&mut self, now: Instant, reply: Sender<ReadReply>, effects: &mut Effects) {
+        if self.unsaved.is_some() {
+            let _ = reply.send(ReadReply::NotLeader(None));
+            return;
+        }
         match self.raft.begin_read(now, effects) {
             Some(round) => self.pending_reads.push((round, now, reply)),
             None => drop(reply.send(ReadReply::NotLeader(self.leader_name()))),
@@ -231,7 +239,7 @@
             return;
         };
         match msg {
-            Msg::Raft(msg) if link.peer.role == Role::Control => {
+            Msg::Raft(msg) if link.peer.role == Role::Control && self.unsaved.is_none() => {
                 self.raft.on_msg(now, msg, effects);
             }
             Msg::Ask(Ask::Sync { revision }) => self.cluster.send_sync_reply(link, revision),
@@ -248,6 +256,10 @@
         reply: Sender<ChangeReply>,
         effects: &mut Effects,
     ) {
+        if self.unsaved.is_some() {
+            let _ = reply.send(ChangeReply::NotLeader(None));
+            return;
+        }
         if let Some(outcome) = self.raft.state().recent.get(&req.request_id)
             && self.raft.has_lease(now)
         {
@@ -324,50 +336,4 @@
         };
         self.raft.propose(now, req, effects);
     }
-
-    /// Makes records durable, then sends messages and delivers outcomes, so that nothing is
-    /// acknowledged before it is on disk.
-    fn apply_effects(&mut self, effects: Effects) -> Result<(), ControlError> {
-        if effects.compact {
-            self.store.rewrite(&self.raft.journal())?;
-        } else if !effects.records.is_empty() {
-            self.store.append(&effects.records)?;
-        }
-        if self.store.appended_bytes() > MAX_APPENDED_BYTES {
-            let mut more = Effects::default();
-            self.raft.compact_now(&mut more);
-            if more.compact {
-                self.store.rewrite(&self.raft.journal())?;
-            }
-        }
-        for (name, msg) in effects.send {
-            if let Some(link) = self
-                .control_links
-                .get(&name)
-                .and_then(|id| self.links.get(id))
-            {
-                link.send(Msg::Raft(msg));
-            }
-        }
-        for (id, outcome) in effects.outcomes {
-            for reply in self.pending_changes.swap_remove(&id).unwrap_or_default() {
-                let _ = reply.try_send(ChangeReply::Outcome(outcome.clone()));
-            }
-        }
-        if !self.raft.is_current() {
-            return Ok(());
-        }
-        self.ready.store(true, Ordering::Release);
-        let state = self.raft.state().cluster.clone();
-        metrics::HELD
-            .with_label_values(&["revision"])
-            .set(state.revision as i64);
-        metrics::HELD
-            .with_label_values(&["waiting_changes"])
-            .set(self.pending_changes.len() as i64);
-        if state.revision > 0 {
-            self.cluster.set_state(state);
-        }
-        Ok(())
-    }
 }
--- a/crates/control/src/event_loop/start.rs
+++ b/crates/control/src/event_loop/start.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use flume::{Receiver, Sender};
 use indexmap::IndexMap;
@@ -24,6 +24,11 @@
 use crate::settings::Settings;
 use crate::store::{Store, StoreError};
 
+/// Pause between two attempts to open or create the journal.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// One failed attempt in so many is logged.
+const LOGGED_ATTEMPTS: u32 = 20;
+
 /// Runs the control node until SIGTERM or SIGINT. With `init`, only creates the journal of a
 /// new cluster; with `args.check`, only checks the settings.
 pub fn run(args: &Args, init: bool) -> Result<(), ControlError> {
@@ -115,6 +120,7 @@
         cluster: cluster.clone(),
         dialer,
         pending_reads: Vec::new(),
+        unsaved: None,
         links: IndexMap::new(),
         control_links: IndexMap::new(),
         pending_changes: IndexMap::new(),
@@ -158,11 +164,32 @@
 /// until the cluster admits it.
 pub(crate) fn open_journal(data: &Path, name: &Name) -> Result<(Store, Vec<Record>), StoreError> {
     if Store::exists(data) {
-        return Store::open(data);
+        return retry("open the journal", || Store::open(data));
     }
     log::warn!("no journal found; joining with a new disk identity");
     let records = vec![Record::Identity(new_voter(name))];
-    Ok((Store::create(data, &records)?, records))
+    let store = retry("create the journal", || Store::create(data, &records))?;
+    Ok((store, records))
+}
+
+/// Repeats an operation on the journal while it fails for a reason that may pass, as on a full disk.
+pub(crate) fn retry<T, F>(step: &'static str, operation: F) -> Result<T, StoreError>
+where
+    F: Fn() -> Result<T, StoreError>,
+{
+    let mut attempts = 0;
+    loop {
+        match operation() {
+            Err(e) if e.is_temporary() => {
+                if attempts % LOGGED_ATTEMPTS == 0 {
+                    log::error!(step = step, error:% = e; "the journal is not usable yet");
+                }
+                attempts += 1;
+                std::thread::sleep(RETRY_INTERVAL);
+            }
+            result => return result,
+        }
+    }
 }
 
 /// Returns the identity that the journal records, if there is one.
--- a/crates/control/src/pooled.rs
+++ b/crates/control/src/pooled.rs
@@ -94,10 +94,10 @@
         .map(|name| initial_voter(name, &initial_voters))
         .collect();
     let me = initial_voter(name, &initial_voters);
-    Store::create(
-        &setup.data,
-        &Raft::bootstrap_records_with_voters(&me, &voters),
-    )?;
+    let records = Raft::bootstrap_records_with_voters(&me, &voters);
+    event_loop::retry("create the first journal", || {
+        Store::create(&setup.data, &records)
+    })?;
     log::info!(node:% = name, founders = initial_voters.join(","); "journal of a new cluster created");
     Ok(())
 }
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -12,8 +12,8 @@
 const JOURNAL_NEW: &str = "journal.new";
 const LOCK: &str = "lock";
 
-/// An error of the journal's file. The process must stop, because records that are not on disk must
-/// not be acknowledged.
+/// An error of the journal's file. Records that are not on disk must not be acknowledged: the write
+/// is repeated until it succeeds, or the process must stop.
 #[derive(Debug, Error)]
 pub enum StoreError {
     /// A file system operation failed.
@@ -54,11 +54,28 @@
     path: PathBuf,
     file: File,
     buf: Vec<u8>,
+    /// Length in bytes of the part that is synced.
+    synced_len: u64,
+    /// Whether the file may hold more than the synced part, because a write or sync failed.
+    has_unsynced: bool,
     /// Number of bytes appended since the journal was opened or rewritten.
     appended_bytes: u64,
     _lock: File,
 }
 
+impl StoreError {
+    /// Returns whether the failed operation may succeed later, as on a full disk.
+    pub fn is_temporary(&self) -> bool {
+        let Self::Io { source, .. } = self else {
+            return false;
+        };
+        !matches!(
+            source.kind(),
+            io::ErrorKind::NotFound | io::ErrorKind::NotADirectory
+        )
+    }
+}
+
 fn io_error(step: &'static str, path: &Path) -> impl FnOnce(io::Error) -> StoreError {
     let path = path.to_path_buf();
     move |source| StoreError::Io { step, path, source }
@@ -77,7 +94,11 @@
             return Err(StoreError::Exists { path });
         }
         let lock = lock(dir)?;
-        write_new(dir, records)?;
+        if let Err(e) = write_new(dir, records) {
+            // Only the sync of the directory can fail once the journal has its name.
+            let _ = fs::remove_file(&path);
+            return Err(e);
+        }
         Self::open_file(dir, lock)
     }
 
@@ -100,6 +121,10 @@
                 .and_then(|()| store.file.sync_all());
             truncated.map_err(io_error("cut", &path))?;
         }
+        let store = Self {
+            synced_len: decoded.valid_len as u64,
+            ..store
+        };
         Ok((store, decoded.records))
     }
 
@@ -109,10 +134,13 @@
             .append(true)
             .open(&path)
             .map_err(io_error("open", &path))?;
+        let synced_len = file.metadata().map_err(io_error("open", &path))?.len();
         Ok(Self {
             path,
             file,
             buf: Vec::new(),
+            synced_len,
+            has_unsynced: false,
             appended_bytes: 0,
             _lock: lock,
         })
@@ -123,7 +151,8 @@
         self.appended_bytes
     }
 
-    /// Appends records and syncs them to disk.
+    /// Appends records and syncs them to disk. After an error the same records may be appended
+    /// again.
     pub fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
         self.buf.clear();
         for record in records {
@@ -132,26 +161,36 @@
                 source,
             })?;
         }
+        let written = self.write_buffer();
+        self.has_unsynced = written.is_err();
+        written.map_err(io_error("append to", &self.path))?;
+        self.synced_len += self.buf.len() as u64;
         self.appended_bytes += self.buf.len() as u64;
-        let written = self
-            .file
-            .write_all(&self.buf)
-            .and_then(|()| self.file.sync_data());
-        written.map_err(io_error("append to", &self.path))
+        Ok(())
     }
 
-    /// Replaces the whole journal atomically with these records.
+    /// Writes the buffer after the synced part and syncs it. What a failed write has left is cut
+    /// off first: after a failed sync the system may have dropped any part of it.
+    fn write_buffer(&mut self) -> io::Result<()> {
+        if self.has_unsynced {
+            self.file.set_len(self.synced_len)?;
+        }
+        self.file.write_all(&self.buf)?;
+        self.file.sync_data()
+    }
+
+    /// Replaces the whole journal atomically with these records. After an error it has to be
+    /// repeated before anything is appended.
     pub fn rewrite(&mut self, records: &[Record]) -> Result<(), StoreError> {
         let dir = self
             .path
             .parent()
             .map(Path::to_path_buf)
             .unwrap_or_default();
-        write_new(&dir, records)?;
-        self.file = OpenOptions::new()
-            .append(true)
-            .open(&self.path)
-            .map_err(io_error("open", &self.path))?;
+        let (file, len) = write_new(&dir, records)?;
+        self.file = file;
+        self.synced_len = len;
+        self.has_unsynced = false;
         self.appended_bytes = 0;
         Ok(())
     }
@@ -168,20 +207,42 @@
 }
 
 /// Writes a new journal beside the existing one, syncs it, and renames it over the existing one.
-fn write_new(dir: &Path, records: &[Record]) -> Result<(), StoreError> {
+/// Returns the file, open for appending, and its length in bytes.
+fn write_new(dir: &Path, records: &[Record]) -> Result<(File, u64), StoreError> {
     let path = dir.join(JOURNAL_NEW);
+    let written = write_renamed(dir, &path, records);
+    if written.is_err()
+        && let Err(e) = fs::remove_file(&path)
+        && e.kind() != io::ErrorKind::NotFound
+    {
+        log::warn!(step = "remove", file:% = path.display(), error:% = e;
+            "incomplete journal not removed");
+    }
+    written
+}
+
+fn write_renamed(dir: &Path, path: &Path, records: &[Record]) -> Result<(File, u64), StoreError> {
     let mut buf = MAGIC.to_vec();
     for record in records {
         journal::encode(record, &mut buf).map_err(|source| StoreError::Journal {
-            path: path.clone(),
+            path: path.into(),
             source,
         })?;
     }
-    let mut file = File::create(&path).map_err(io_error("create", &path))?;
-    file.write_all(&buf)
+    // The handle is opened before the file takes the old one's place, so that nothing is left to
+    // fail after that but the sync of the directory.
+    let mut options = OpenOptions::new();
+    let mut file = options
+        .append(true)
+        .create(true)
+        .open(path)
+        .map_err(io_error("create", path))?;
+    file.set_len(0)
+        .and_then(|()| file.write_all(&buf))
         .and_then(|()| file.sync_all())
-        .map_err(io_error("write", &path))?;
-    fs::rename(&path, dir.join(JOURNAL)).map_err(io_error("rename", &path))?;
+        .map_err(io_error("write", path))?;
+    fs::rename(path, dir.join(JOURNAL)).map_err(io_error("rename", path))?;
     let dir_file = File::open(dir).map_err(io_error("open", dir))?;
-    dir_file.sync_all().map_err(io_error("sync", dir))
+    dir_file.sync_all().map_err(io_error("sync", dir))?;
+    Ok((file, buf.len() as u64))
 }
--- a/crates/host/src/program.rs
+++ b/crates/host/src/program.rs
@@ -2,9 +2,11 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use clap::{Arg, ArgAction, Command, value_parser};
 use flume::Receiver;
+use rustix::process::Signal;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -75,6 +77,8 @@
 /// Returns a channel that receives the first SIGTERM or SIGINT. A second one exits the process at
 /// once with code 130; SIGHUP is only logged.
 pub fn shutdown_signal() -> std::io::Result<Receiver<()>> {
+    // A write beyond a limit of the file size then fails, as one on a full disk does.
+    signal_hook::flag::register(Signal::XFSZ.as_raw(), Arc::default())?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let (tx, rx) = flume::bounded(1);
     spawn("signals", move || {
--- a/crates/load/src/soak/faults.rs
+++ b/crates/load/src/soak/faults.rs
@@ -365,8 +365,8 @@
         Ok(())
     }
 
-    /// Limits the file size of a process to a few bytes more than its journal has now. The kernel
-    /// terminates the process when it writes beyond the limit.
+    /// Limits the file size of a process to a few bytes more than its journal has now. Writes beyond
+    /// the limit fail.
     fn limit_writes(&mut self, node: &str, cluster: &TestCluster) -> io::Result<()> {
         let written =
             fs::metadata(cluster.data_dir(node).join("journal")).map_or(0, |meta| meta.len());
