--- a/crates/host/src/http/server.rs
+++ b/crates/host/src/http/server.rs
@@ -15,6 +15,7 @@
 
 use super::problem;
 use crate::net::{HttpLimits, HttpRequest, HttpResponse, Parsed, parse_request, response_bytes};
+use crate::panics::CONNECTION_THREAD;
 
 /// Maximum body size in bytes that the server accepts; handlers apply smaller limits.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -118,7 +119,7 @@
                 drop(open_conn);
             };
             let thread = std::thread::Builder::new()
-                .name("http-conn".into())
+                .name(CONNECTION_THREAD.into())
                 .stack_size(STACK_BYTES);
             if let Err(e) = thread.spawn(serve) {
                 log::warn!(step = "start a thread", peer:% = peer, error:% = e; "cannot serve a connection");
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod net;
+pub mod panics;
 pub mod peers;
 pub mod pooled;
 pub mod program;
--- a/crates/host/src/logging.rs
+++ b/crates/host/src/logging.rs
@@ -12,7 +12,8 @@
 
 pub use sink::{MAX_WRITE_BYTES, flush, line_chunks};
 
-/// Installs the process-wide logger according to the settings. Has no effect if one is installed.
+/// Installs the process-wide logger according to the settings, and the logging of panics. Has no
+/// effect if one is installed.
 pub fn init(settings: &LogSettings) {
     let level = match settings.level {
         Level::Error => LevelFilter::Error,
@@ -36,7 +37,9 @@
     } else {
         dispatch.chain(std::io::stderr())
     };
-    let _ = dispatch.apply();
+    if dispatch.apply().is_ok() {
+        crate::panics::install_hook();
+    }
 }
 
 fn time() -> String {
