Extreme numbers end no entry; idle agents report freed room at once; known faults mended

- A job with an estimate of 2^64 ms, an operator's slackFactor below 0 or far above 1, or a report whose pace is no number made an entry panic ("cannot convert float seconds to Duration"): one request ended the process.
- An agent whose last run ended within 25 ms of its last report asked for its next tick only after 200 ms, so that entries took the worker for full meanwhile.
The driver now states when its next report is due.
A fading pace alone is no reason for a report every 100 ms any more.
- A queued run that is stopped was answered NoRoom, so that the entry took the worker for full.

--- a/crates/core/src/journal.rs
+++ b/crates/core/src/journal.rs
@@ -58,12 +58,18 @@
     /// A record cannot be encoded.
     #[error("journal record cannot be encoded: {0}")]
     Encode(postcard::Error),
+    /// A record's payload is longer than [`MAX_RECORD_BYTES`].
+    #[error("journal record of {0} bytes is longer than {MAX_RECORD_BYTES}")]
+    TooLong(usize),
 }
 
-/// Appends the encoded record to `buf`. A payload above [`MAX_RECORD_BYTES`] is not rejected here,
-/// but [`decode`] treats it as damage.
+/// Appends the encoded record to `buf`. A payload above [`MAX_RECORD_BYTES`] is an error, since
+/// [`decode`] would treat it as damage; nothing is appended then.
 pub fn encode(record: &Record, buf: &mut Vec<u8>) -> Result<(), JournalError> {
     let payload = postcard::to_stdvec(record).map_err(JournalError::Encode)?;
+    if payload.len() > MAX_RECORD_BYTES {
+        return Err(JournalError::TooLong(payload.len()));
+    }
     let len = (payload.len() as u32).to_le_bytes();
     buf.extend_from_slice(&len);
     buf.extend_from_slice(&crc32fast::hash(&len).to_le_bytes());
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -40,3 +40,25 @@
 pub const WORKER_LEASE: Duration = Duration::from_millis(510);
 /// Allowance for messages in transit and late timers, added when waiting for a lease to expire.
 pub const LEASE_EXPIRY_MARGIN: Duration = Duration::from_millis(150);
+/// Upper bound of computed times, about 100 years; sums of a few of them do not overflow.
+pub const MAX_TIME: Duration = Duration::from_secs(100 * 365 * 24 * 3600);
+
+/// Returns a time of so many seconds, between 0 and [`MAX_TIME`]; 0 for a number that is not one.
+pub fn seconds(seconds: f64) -> Duration {
+    if seconds.is_nan() {
+        return Duration::ZERO;
+    }
+    Duration::from_secs_f64(seconds.clamp(0.0, MAX_TIME.as_secs_f64()))
+}
+
+/// Returns a time multiplied by a factor, between 0 and [`MAX_TIME`].
+///
+/// Callers and operators choose estimates and factors, which [`Duration::mul_f64`] would panic on.
+pub fn scaled(time: Duration, factor: f64) -> Duration {
+    seconds(time.as_secs_f64() * factor)
+}
+
+/// Returns whole milliseconds, at most [`u32::MAX`].
+pub fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -216,6 +216,8 @@
     unresponsive: bool,
     /// Earliest time of the next list call while the worker is unresponsive.
     next_list: Uptime,
+    /// When the next report is due, unless something changes before; `None` if all are up to date.
+    next_report: Option<Uptime>,
     /// Index of the entry that is first in the next round of reports.
     next_entry: usize,
     /// Ends that were not delivered, with run time in milliseconds and time of arrival.
@@ -248,6 +250,7 @@
             last_answer: now,
             unresponsive: false,
             next_list: now,
+            next_report: None,
             next_entry: 0,
             undelivered_ends: IndexMap::new(),
             pace: 0.0,
@@ -295,7 +298,8 @@
     /// Returns the longest time until [`Driver::tick`] has to be called again.
     pub fn next_tick(&self, now: Uptime) -> Duration {
         if self.runs.is_empty() && self.calls.is_empty() {
-            return super::PING_EVERY;
+            let until_report = self.next_report.map(|at| at.saturating_sub(now));
+            return until_report.map_or(super::PING_EVERY, |time| time.min(super::PING_EVERY));
         }
         let next_timeout = self.calls.values().map(|pending| pending.timeout).min();
         let limit = WAITING_REPORT_INTERVAL;
--- a/crates/core/src/pool/driver/owners.rs
+++ b/crates/core/src/pool/driver/owners.rs
@@ -5,11 +5,16 @@
 use super::super::msg::{CapacityReport, ToAgent, ToEntry};
 use super::super::{PING_EVERY, SILENCE_TIMEOUT};
 use super::{
-    Action, Driver, Entry, IMMEDIATE_REPORTS, LARGE_CHANGE_DIVISOR, Name, Note, REPORT_INTERVAL,
-    SLOW_REPORT_INTERVAL, State, WAITING_REPORT_INTERVAL,
+    Action, Driver, Duration, Entry, IMMEDIATE_REPORTS, LARGE_CHANGE_DIVISOR, Name, Note,
+    REPORT_INTERVAL, SLOW_REPORT_INTERVAL, State, WAITING_REPORT_INTERVAL,
 };
 use crate::ids::NodeRef;
 
+/// Change of the pace that is not reported on its own.
+const SMALL_PACE_CHANGE: f32 = 0.05;
+/// Change of the failure rate that is not reported on its own.
+const SMALL_FAILING_CHANGE: f32 = 0.02;
+
 impl Driver {
     /// Handles a new link to an entry process. If an earlier process had the same name, its runs
     /// are stopped.
@@ -184,6 +189,7 @@
             .map_or(0, |info| info.capacity.cpu_milli / LARGE_CHANGE_DIVISOR);
         let pace = self.pace(now);
         let mut immediate_left = IMMEDIATE_REPORTS;
+        self.next_report = None;
         let count = self.entries.len();
         for i in 0..count {
             let index = (self.next_entry + i) % count;
@@ -214,11 +220,25 @@
                 }
                 entry.last_report = Some((now, report));
                 out.push(Action::Send(name.clone(), ToEntry::Capacity(report)));
+            } else if change != Change::None {
+                let due = entry.report_due(change);
+                self.next_report = Some(self.next_report.map_or(due, |next| next.min(due)));
             }
         }
     }
 }
 
+impl CapacityReport {
+    /// Returns whether `newer` differs in more than a fading of what was learned, which entries
+    /// need not follow closely.
+    fn is_outdated(&self, newer: &Self) -> bool {
+        let counted = |report: &Self| (report.starts_received, report.free, report.queued);
+        counted(self) != counted(newer)
+            || (self.pace - newer.pace).abs() > SMALL_PACE_CHANGE
+            || (self.failing - newer.failing).abs() > SMALL_FAILING_CHANGE
+    }
+}
+
 /// The difference between the present state and the last report to an entry, which decides how soon
 /// the next report is sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -249,7 +269,7 @@
             Change::Freed
         } else if before.abs_diff(after) >= large_change.max(1) || learned_change {
             Change::Large
-        } else if last != report {
+        } else if last.is_outdated(report) {
             Change::Small
         } else {
             Change::None
@@ -257,15 +277,19 @@
     }
 
     fn is_due(&self, now: Uptime, change: Change) -> bool {
-        let since = self
-            .last_report
-            .map_or(Uptime::MAX, |(at, _)| now.saturating_sub(at));
-        match change {
-            Change::Availability => true,
-            Change::Freed => since >= WAITING_REPORT_INTERVAL,
-            Change::Large => since >= REPORT_INTERVAL,
-            Change::Small => since >= SLOW_REPORT_INTERVAL,
-            Change::None => since >= PING_EVERY * 4,
-        }
+        now >= self.report_due(change)
+    }
+
+    /// Returns when a report of the change is due.
+    fn report_due(&self, change: Change) -> Uptime {
+        let interval = match change {
+            Change::Availability => Duration::ZERO,
+            Change::Freed => WAITING_REPORT_INTERVAL,
+            Change::Large => REPORT_INTERVAL,
+            Change::Small => SLOW_REPORT_INTERVAL,
+            Change::None => PING_EVERY * 4,
+        };
+        self.last_report
+            .map_or(Uptime::ZERO, |(at, _)| at + interval)
     }
 }
--- a/crates/core/src/pool/driver/starts.rs
+++ b/crates/core/src/pool/driver/starts.rs
@@ -1,7 +1,7 @@
 //! Queueing, starting, refusing and stopping of runs.
 
 use super::super::Uptime;
-use super::super::job::RunId;
+use super::super::job::{RunEnd, RunId};
 use super::super::msg::{NotStarted, Start};
 use super::{
     Action, Call, Driver, Duration, HeartbeatState, MAX_QUEUED, Note, Run, START_WINDOW,
@@ -186,7 +186,7 @@
         self.retry_stops(now, out);
     }
 
-    /// Stops a run, or refuses it if it is still queued. `why` is for the log.
+    /// Stops a run, or ends it at once if it is still queued. `why` is for the log.
     pub(super) fn stop(
         &mut self,
         now: Uptime,
@@ -199,7 +199,8 @@
         };
         match run.state {
             State::Queued => {
-                self.refuse(id, NotStarted::NoRoom, out);
+                // Not a refusal for lack of room: the entry would take the worker for full.
+                self.end(now, id, RunEnd::Gone, out);
                 return;
             }
             State::Running | State::Starting => run.state = State::Stopping,
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -176,6 +176,7 @@
             return false;
         };
         let before = worker.accepts_runs(now).then(|| worker.free());
+        let report = report.within_limits();
         worker.report = report;
         worker.reported = now;
         worker.run_factor = f64::from(report.pace).exp();
--- a/crates/core/src/pool/fleet/choice.rs
+++ b/crates/core/src/pool/fleet/choice.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::super::Uptime;
 use super::super::job::{Resources, Step};
+use super::super::{Uptime, scaled};
 use super::{Fleet, Worker};
 use crate::ids::Name;
 
@@ -117,10 +117,10 @@
                 continue;
             }
             let factor = worker.expected_run_factor(need.step);
-            let expected = need.step.estimate.mul_f64(factor);
+            let expected = scaled(need.step.estimate, factor);
             if need
                 .in_time
-                .is_some_and(|time| expected > time.mul_f64(IN_TIME_SHARE))
+                .is_some_and(|time| expected > scaled(time, IN_TIME_SHARE))
             {
                 continue;
             }
@@ -132,10 +132,7 @@
         }
         best.map(|(_, name, worker)| Choice {
             worker: name.clone(),
-            expected: need
-                .step
-                .estimate
-                .mul_f64(worker.expected_run_factor(need.step)),
+            expected: scaled(need.step.estimate, worker.expected_run_factor(need.step)),
             free: worker.free(),
             age: now.saturating_sub(worker.reported),
         })
--- a/crates/core/src/pool/msg.rs
+++ b/crates/core/src/pool/msg.rs
@@ -156,6 +156,29 @@
     pub failing: f32,
 }
 
+/// Largest absolute value of a pace; a factor of about 150 on run times.
+const MAX_PACE: f32 = 5.0;
+
+impl CapacityReport {
+    /// Returns the report with its numbers limited to their ranges; values that are not numbers
+    /// become 0.
+    #[must_use]
+    pub fn within_limits(self) -> Self {
+        let limit = |value: f32, min: f32, max: f32| {
+            if value.is_nan() {
+                0.0
+            } else {
+                value.clamp(min, max)
+            }
+        };
+        Self {
+            pace: limit(self.pace, -MAX_PACE, MAX_PACE),
+            failing: limit(self.failing, 0.0, 1.0),
+            ..self
+        }
+    }
+}
+
 /// A message between entries.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Peer {
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -19,12 +19,12 @@
 use load::PoolLoad;
 use open_job::{Hold, OpenJob, Rank, Task, TaskState, Tier};
 
-use super::Uptime;
 use super::catalog::Queue;
 use super::fleet::Fleet;
 use super::job::{Job, JobId, RunId};
 use super::msg::{Peer, ToAgent};
 use super::owners::Owners;
+use super::{MAX_TIME, Uptime, scaled};
 use crate::ids::Name;
 
 /// Maximum number of open jobs at one entry; further jobs are refused.
@@ -185,7 +185,8 @@
             return;
         }
         let hold = self.hold_for(id, out);
-        let aim = spec.critical_path().mul_f64(queue.slack) + queue.aim;
+        let aim = scaled(spec.critical_path(), queue.slack) + queue.aim.min(MAX_TIME);
+        let deadline = deadline.min(MAX_TIME);
         let waits_for = match &hold {
             Hold::Yield(entry) => Some(entry.clone()),
             Hold::None | Hold::Stopping => None,
--- a/crates/core/src/pool/scheduler/load.rs
+++ b/crates/core/src/pool/scheduler/load.rs
@@ -9,7 +9,7 @@
 
 use indexmap::IndexMap;
 
-use super::super::Uptime;
+use super::super::{Uptime, scaled, seconds};
 use super::{Action, Answer, JobId, Name, Note, OpenJob, Rank, Scheduler, Tier};
 
 /// Time constant of the exponential decay of the work sent to a pool.
@@ -102,7 +102,7 @@
                 continue;
             };
             let rate = load.rate().max(self.fleet.free_cpu(now, pool));
-            let time_to_clear = |work: f64| Duration::from_secs_f64(work / rate);
+            let time_to_clear = |work: f64| seconds(work / rate);
             let tier = if self.is_late(now, job) && job.starts > 0 && now < job.useful_until() {
                 Tier::Started
             } else if self.is_late(now, job) {
@@ -174,9 +174,8 @@
     /// Returns whether the job's ready tasks are expected to miss its aim if they are sent now.
     fn is_late(&self, now: Uptime, job: &OpenJob) -> bool {
         let factor = self.fleet.median_factor(&job.queue.pool);
-        let expected = job
-            .ready_estimate()
-            .mul_f64(factor.clamp(0.2, 5.0) * RUN_MARGIN);
+        let expected = job.ready_estimate();
+        let expected = scaled(expected, factor.clamp(0.2, 5.0) * RUN_MARGIN);
         now + expected > job.aim
     }
 }
@@ -184,11 +183,7 @@
 impl OpenJob {
     /// Returns the time after which an answer is of little use to the caller.
     fn useful_until(&self) -> Uptime {
-        self.arrived
-            + self
-                .aim
-                .saturating_sub(self.arrived)
-                .mul_f64(USEFUL_AIM_FACTOR)
+        self.arrived + scaled(self.aim.saturating_sub(self.arrived), USEFUL_AIM_FACTOR)
     }
 
     /// Returns the work of the ready tasks, in core-milliseconds.
@@ -213,10 +208,7 @@
     /// `time_to_clear` is the expected time until the backlog is cleared.
     fn should_refuse(&self, now: Uptime, time_to_clear: Duration) -> bool {
         let waited = now.saturating_sub(self.arrived);
-        let max_wait = self
-            .deadline
-            .saturating_sub(self.arrived)
-            .mul_f64(LATE_WAIT_SHARE);
+        let max_wait = scaled(self.deadline.saturating_sub(self.arrived), LATE_WAIT_SHARE);
         self.unplaced_tier == Some(Tier::Late)
             && (time_to_clear > MAX_LATE_BACKLOG || waited > max_wait)
     }
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -1,9 +1,9 @@
 //! Placement of waiting tasks on workers.
 
-use super::super::Uptime;
 use super::super::fleet::Need;
 use super::super::job::Resources;
 use super::super::msg::{Start, ToAgent};
+use super::super::{Uptime, millis};
 use super::{Action, Duration, JobId, Name, Note, Placed, Rank, Scheduler, TaskState, Tier};
 
 /// Number of jobs that found no worker after which a pass over all waiting jobs ends; the rest wait
@@ -190,8 +190,8 @@
             let start = Start {
                 run,
                 needs: step.needs,
-                estimate_ms: step.estimate.as_millis() as u32,
-                due_ms: in_time.unwrap_or(LATE_DUE).as_millis() as u32,
+                estimate_ms: millis(step.estimate),
+                due_ms: millis(in_time.unwrap_or(LATE_DUE)),
                 max_queue_ms: if self.jobs_left_waiting {
                     MAX_AGENT_WAIT_MS
                 } else {
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -7,6 +7,7 @@
 use super::super::job::{RunEnd, RunId};
 use super::super::msg::{NotStarted, ToAgent, ToEntry};
 use super::super::owners::MAX_RUN_TIME_AFTER_LOSS;
+use super::super::seconds;
 use super::{Action, Answer, Name, Note, OpenJob, Scheduler, TaskState};
 
 /// A run is moved only if its expected time left exceeds that of a new run times this factor, plus
@@ -257,9 +258,8 @@
         let worthwhile = |left: u32| {
             let current = self.fleet.slowdown_of(name, pool);
             let other = self.fleet.slowdown_of(&choice.worker, pool);
-            let total = f64::from(ran_ms + left) / current * other;
-            let new_run =
-                Duration::from_secs_f64(total / 1000.0).mul_f64(MOVE_FACTOR) + MIN_MOVE_GAIN;
+            let total = (f64::from(ran_ms) + f64::from(left)) / current * other;
+            let new_run = seconds(total / 1000.0 * MOVE_FACTOR) + MIN_MOVE_GAIN;
             Duration::from_millis(left.into()) > new_run
         };
         if left_ms.is_some_and(|left| !worthwhile(left)) {
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -45,8 +45,8 @@
 }
 
 impl Quotas {
-    /// Admits a job's tasks, or returns the name of the limit that is used up. A limit
-    /// of 0 means unlimited. Panics if the tenant is not in the configuration.
+    /// Admits a job's tasks, or returns the name of the limit that is used up; `tenant` if the
+    /// configuration no longer has the tenant. A limit of 0 means unlimited.
     pub fn admit(
         &mut self,
         now: Instant,
@@ -56,7 +56,9 @@
     ) -> Result<(), &'static str> {
         let share = self.share(now, tenant);
         let percent = f64::from(cluster.preset().quota_percent) / 100.0;
-        let quota = &cluster.tenants[tenant].value;
+        let Some(quota) = cluster.tenants.get(tenant).map(|tenant| &tenant.value) else {
+            return Err("tenant");
+        };
         let rate = f64::from(quota.rate) * percent * share;
         let concurrency = f64::from(quota.concurrency) * percent * share;
         let account = self.account(now, tenant);
--- a/crates/core/tests/journal.rs
+++ b/crates/core/tests/journal.rs
@@ -91,3 +91,15 @@
         Err(JournalError::Magic)
     ));
 }
+
+#[test]
+fn a_record_above_the_limit_is_not_encoded() {
+    let record = Record::Identity(VoterId {
+        name: "x".repeat(journal::MAX_RECORD_BYTES + 1).into(),
+        disk: 7,
+    });
+    let mut buf = MAGIC.to_vec();
+    let encoded = journal::encode(&record, &mut buf);
+    assert!(encoded.is_err(), "{} bytes were encoded", buf.len());
+    assert_eq!(buf, MAGIC, "nothing is appended");
+}
