Agents link to a subset of the entries; entries reach further on demand

Cause: every entry was linked to every agent. On the large site an entry spent most of its processor time on pings and reports of 160 agents, and all entries told all agents of each wait. Change: an agent links to so many entries that each has about 36 agents, chosen by rendezvous hashing from the member list, half of them in its own failure domain (pool::subset). While tasks find no worker, an entry opens links to further agents whose workers suit them, six at a time, ever more rarely if that brings no room, and closes them when they are of no more use (pool::reach). The member list carries what each worker offers, so that "no worker could hold a task" stays true of the whole cluster. A link that leaves the subset takes no more starts for 500 ms before it is closed. Also: the member list is fetched from seeds twice and then from any member, at 0, 0.4, 1.2 and 2.8 s, in place of every 200 ms from whoever sent the last datagram. Also: heartbeats that no worker of the cluster can have sent (pool not configured, start in the future, number too large, names too long) are refused one by one and displace nobody; found on the way: one of them with a later start ended all runs of the worker.

--- a/crates/agent/src/pooled.rs
+++ b/crates/agent/src/pooled.rs
@@ -13,7 +13,8 @@
 use rw_core::msg::{Msg, Role};
 use rw_core::pool::Uptime;
 use rw_core::pool::driver::{Action, Call, Driver, Heartbeat, HeartbeatOutcome, Reply};
-use rw_core::pool::msg::PoolMsg;
+use rw_core::pool::msg::{PoolMsg, WorkerInfo};
+use rw_core::pool::subset::{Entries, LinkCount};
 use rw_host::cluster::{Cluster, ClusterEvent};
 use rw_host::net::{Accepts, ConnId, HttpRequest, HttpResponse, Net, NetEvent};
 use rw_host::peers::Peers;
@@ -30,8 +31,8 @@
 const WORKER_TAG: u8 = 0;
 /// Maximum number of open connections of all kinds.
 const MAX_CONNS: usize = 512;
-/// Maximum number of entries to which an agent keeps links.
-const MAX_ENTRIES: usize = rw_core::linking::MAX_ENTRY_LINKS;
+/// Number of characters of an odd name that a log line shows.
+const MAX_LOGGED_CHARS: usize = 64;
 /// Longest time that runs may continue after SIGTERM or SIGINT. The next agent process takes over
 /// the remaining ones.
 const DRAIN_LIMIT: Duration = Duration::from_secs(5);
@@ -120,6 +121,8 @@
         draining_since: None,
         next_tick: now,
         next_reload: now,
+        link_count: LinkCount::default(),
+        announced: None,
     };
     let mut events = Vec::new();
     let mut out = Vec::new();
@@ -160,6 +163,9 @@
     draining_since: Option<Uptime>,
     next_tick: Uptime,
     next_reload: Uptime,
+    link_count: LinkCount,
+    /// What the member list says of the worker.
+    announced: Option<WorkerInfo>,
 }
 
 impl Daemon {
@@ -170,7 +176,12 @@
 
     fn on_thread_event(&mut self, now: Uptime, event: ThreadEvent, out: &mut Vec<Action>) {
         match event {
-            ThreadEvent::Cluster(ClusterEvent::State(_)) => {}
+            ThreadEvent::Cluster(ClusterEvent::State(state)) => {
+                if let Some(catalog) = &state.catalog {
+                    let pools = catalog.pools.iter().map(|pool| pool.name.clone());
+                    self.driver.set_pools(pools.collect());
+                }
+            }
             ThreadEvent::Cluster(ClusterEvent::Members(members)) => self.on_members(now, &members),
             ThreadEvent::Shutdown => {
                 log::info!(runs = self.driver.run_count(); "agent draining");
@@ -183,8 +194,10 @@
     }
 
     fn on_members(&mut self, now: Uptime, members: &[Member]) {
-        let own_name = &self.cluster.hello.node.name;
-        let names = rw_core::linking::entries_for(own_name, members);
+        let hello = &self.cluster.hello;
+        let entries = Entries::of(members);
+        let links = self.link_count.update(&entries);
+        let names = entries.for_agent(&hello.node.name, &hello.domain, links);
         let mut targets: Vec<(Name, SocketAddr)> = members
             .iter()
             .filter(|m| m.role == Role::Entry)
@@ -192,8 +205,14 @@
             .collect();
         // Entries that are alive come first; dead ones are dialled too while the limit permits.
         targets.sort_by_key(|(name, _)| !names.contains(name));
-        targets.truncate(MAX_ENTRIES);
+        targets.truncate(links);
         self.peers.set_targets(now, targets);
+        let retiring = self.peers.dialled_without_target();
+        if !retiring.is_empty() {
+            log::info!(links = names.len(), closing = retiring.len();
+                "entries to link with changed");
+        }
+        self.driver.set_retiring(now, &retiring);
     }
 
     fn on_net(&mut self, now: Uptime, event: NetEvent, out: &mut Vec<Action>) {
@@ -276,12 +295,20 @@
                     heartbeat.number,
                     heartbeat.start_time_ms,
                 );
-                let outcome = self.driver.on_heartbeat(now, heartbeat, out);
-                if outcome == HeartbeatOutcome::Outdated {
-                    log::info!(worker:% = id, number = number, born = start_time_ms;
-                        "outdated announcement ignored");
+                let wall_ms = clock::wall().0;
+                match self.driver.on_heartbeat_at(now, wall_ms, heartbeat, out) {
+                    HeartbeatOutcome::Applied => self.protocol.acknowledge(),
+                    HeartbeatOutcome::Outdated => {
+                        log::info!(worker:% = id, number = number, born = start_time_ms;
+                            "outdated announcement ignored");
+                        self.protocol.acknowledge()
+                    }
+                    HeartbeatOutcome::Odd(reason) => {
+                        log::warn!(worker = shortened(&id), number = number, born = start_time_ms,
+                            reason = reason; "odd announcement ignored");
+                        HttpResponse::empty(400)
+                    }
                 }
-                self.protocol.acknowledge()
             }
             WorkerRequest::Leave(id) => {
                 log::info!(worker:% = id; "worker is shutting down");
@@ -305,6 +332,14 @@
         self.net.tick(now, events);
         self.peers.dial(now, &mut self.net);
         self.next_tick = now + self.driver.next_tick(now);
+        if self.driver.worker_info() != self.announced.as_ref() {
+            self.announced = self.driver.worker_info().cloned();
+            let listed = self.announced.clone().filter(WorkerInfo::fits_member_list);
+            if listed.is_none() && self.announced.is_some() {
+                log::warn!("the labels of the worker are too long for the member list");
+            }
+            self.cluster.set_offers(listed);
+        }
         if now >= self.next_reload {
             self.next_reload = now + Duration::from_secs(1);
             if let Some(reloaded) = (self.reload)() {
@@ -344,3 +379,10 @@
         self.next_tick = self.next_tick.min(due);
     }
 }
+
+/// Returns the beginning of a name that another process has chosen, for a log line.
+fn shortened(name: &str) -> &str {
+    name.char_indices()
+        .nth(MAX_LOGGED_CHARS)
+        .map_or(name, |(end, _)| &name[..end])
+}
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -17,6 +17,7 @@
 
 use crate::ids::{Name, NodeRef};
 use crate::msg::Role;
+use crate::pool::msg::WorkerInfo;
 
 /// Interval between probes.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -89,6 +90,8 @@
     pub leaving: bool,
     /// Configuration revision up to which the process serves all registry shards placed on it.
     pub ready_for: u64,
+    /// What the worker of an agent for pooled jobs offers; `None` for other processes.
+    pub offers: Option<WorkerInfo>,
 }
 
 impl Member {
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -15,7 +15,9 @@
 pub mod job;
 pub mod msg;
 pub mod owners;
+pub mod reach;
 pub mod scheduler;
+pub mod subset;
 
 use std::time::Duration;
 
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::Uptime;
 use super::job::{Resources, RunEnd, RunId};
@@ -55,6 +55,9 @@
 const END_RETENTION: Duration = Duration::from_secs(3);
 /// Maximum number of runs that wait at the agent for free resources.
 const MAX_QUEUED: usize = 24;
+/// Time from the report that a link takes no more starts to its end. Starts that were sent before
+/// arrive meanwhile.
+const RETIRE_GRACE: Duration = Duration::from_millis(500);
 /// Number of entries with waiting jobs that are notified of freed capacity immediately. Entries
 /// take turns.
 const IMMEDIATE_REPORTS: usize = 2;
@@ -160,6 +163,8 @@
     last_report: Option<(Uptime, CapacityReport)>,
     /// Whether the current [`WorkerInfo`] was sent to it.
     info_sent: bool,
+    /// Since when the link is to be closed; `None` if it stays.
+    retiring_since: Option<Uptime>,
 }
 
 #[derive(Debug)]
@@ -202,6 +207,8 @@
     /// When a call last failed or timed out.
     last_lost_call: Option<Uptime>,
     worker: Option<Worker>,
+    /// Pools of the catalogue in force; `None` before the first one.
+    pools: Option<IndexSet<Name>>,
     runs: IndexMap<RunId, Run>,
     entries: IndexMap<Name, Entry>,
     /// Calls in flight, by number.
@@ -241,6 +248,7 @@
             mean_response_time: Duration::from_millis(1),
             last_lost_call: None,
             worker: None,
+            pools: None,
             runs: IndexMap::new(),
             entries: IndexMap::new(),
             calls: IndexMap::new(),
@@ -265,6 +273,11 @@
         self.worker.as_ref().map(|worker| &worker.id)
     }
 
+    /// Returns the pool, capacity and labels of the worker, or `None` without a worker.
+    pub fn worker_info(&self) -> Option<&WorkerInfo> {
+        self.worker.as_ref().map(|worker| &worker.info)
+    }
+
     /// Returns whether no run is queued or running.
     pub fn is_idle(&self) -> bool {
         self.runs.is_empty()
@@ -285,6 +298,7 @@
     pub fn tick(&mut self, now: Uptime, out: &mut Vec<Action>) {
         self.expire_calls(now, out);
         self.expire_entries(now, out);
+        self.close_retired(now, out);
         self.end_runs_of_expired_lease(now, out);
         self.stop_orphans(now, out);
         self.retry_stops(now, out);
--- a/crates/core/src/pool/driver/owners.rs
+++ b/crates/core/src/pool/driver/owners.rs
@@ -6,7 +6,7 @@
 use super::super::{PING_EVERY, SILENCE_TIMEOUT};
 use super::{
     Action, Driver, Duration, Entry, IMMEDIATE_REPORTS, LARGE_CHANGE_DIVISOR, Name, Note,
-    REPORT_INTERVAL, SLOW_REPORT_INTERVAL, State, WAITING_REPORT_INTERVAL,
+    REPORT_INTERVAL, RETIRE_GRACE, SLOW_REPORT_INTERVAL, State, WAITING_REPORT_INTERVAL,
 };
 use crate::ids::NodeRef;
 
@@ -37,11 +37,43 @@
                 waiting_jobs: 0,
                 last_report: None,
                 info_sent: false,
+                retiring_since: None,
             },
         );
         self.report(now, out);
     }
 
+    /// Sets the entries whose links are to be closed. They are told that the worker takes no more
+    /// runs; a link is closed once none of its runs is left.
+    pub fn set_retiring(&mut self, now: Uptime, names: &[Name]) {
+        for (name, entry) in &mut self.entries {
+            entry.retiring_since = if names.contains(name) {
+                Some(entry.retiring_since.unwrap_or(now))
+            } else {
+                None
+            };
+        }
+    }
+
+    /// Closes the links that are to be closed and have no runs.
+    pub(super) fn close_retired(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        let runs = &self.runs;
+        self.entries.retain(|name, entry| {
+            let due = entry
+                .retiring_since
+                .is_some_and(|since| now >= since + RETIRE_GRACE);
+            let owns_runs = || {
+                runs.values()
+                    .any(|run| run.owner.as_ref() == Some(&entry.node))
+            };
+            let closes = due && entry.linked && !owns_runs();
+            if closes {
+                out.push(Action::DropLink(name.clone()));
+            }
+            !closes
+        });
+    }
+
     /// Handles the loss of an entry's link. Its runs continue until nothing was received from the
     /// entry for [`SILENCE_TIMEOUT`].
     pub fn entry_down(&mut self, name: &Name) {
@@ -205,7 +237,7 @@
             }
             let report = CapacityReport {
                 starts_received: entry.starts_received,
-                open,
+                open: open && entry.retiring_since.is_none(),
                 free,
                 queued,
                 pace,
--- a/crates/core/src/pool/driver/worker.rs
+++ b/crates/core/src/pool/driver/worker.rs
@@ -1,5 +1,6 @@
 //! The worker's heartbeats: its incarnation, its capacity, and whether it drains or shuts down.
 
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
 use super::super::Uptime;
@@ -7,6 +8,15 @@
 use super::super::msg::{NotStarted, WorkerInfo};
 use super::{Action, Driver, Name, Note, Worker};
 
+/// Maximum length in bytes of a worker's id, pool and labels.
+const MAX_NAME_BYTES: usize = 256;
+/// Maximum number of a worker's labels.
+const MAX_LABELS: usize = 32;
+/// Maximum difference between the clocks of a worker and its agent, in milliseconds: one day.
+const MAX_CLOCK_ERROR_MS: u64 = 24 * 3600 * 1000;
+/// Maximum number of heartbeats, far above those of any outage, that may be missed between two.
+const MAX_MISSED_HEARTBEATS: u64 = 100_000_000;
+
 /// The state that a worker states in its heartbeats.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -45,9 +55,82 @@
     Applied,
     /// The heartbeat is out of date or of an earlier incarnation and was ignored.
     Outdated,
+    /// The heartbeat cannot come from a worker of this cluster, for the given reason, and was
+    /// ignored.
+    Odd(&'static str),
+}
+
+impl Heartbeat {
+    /// Returns why no worker of the cluster can have sent the heartbeat at this time, in Unix
+    /// milliseconds; `None` if one can.
+    fn oddity(&self, wall_ms: u64) -> Option<&'static str> {
+        let named = |name: &Name| !name.is_empty() && name.len() <= MAX_NAME_BYTES;
+        if !named(&self.id) || !named(&self.pool) {
+            return Some("the id or the pool is empty or too long");
+        }
+        if self.labels.len() > MAX_LABELS || !self.labels.iter().all(named) {
+            return Some("there are too many labels, or one is empty or too long");
+        }
+        if self.start_time_ms > wall_ms.saturating_add(MAX_CLOCK_ERROR_MS) {
+            return Some("the start time is in the future");
+        }
+        (self.capacity.cpu_milli == 0).then_some("there is no capacity")
+    }
 }
 
 impl Driver {
+    /// Sets the pools of the catalogue in force. A worker of another pool is forgotten if nothing
+    /// runs on it, so that it does not stand in the way of one that is configured.
+    pub fn set_pools(&mut self, pools: IndexSet<Name>) {
+        let serves = |worker: &Worker| {
+            let pool = worker.info.pool.as_ref();
+            pool.is_some_and(|pool| pools.contains(pool))
+        };
+        if self.runs.is_empty()
+            && self.calls.is_empty()
+            && !self.worker.as_ref().is_some_and(serves)
+        {
+            self.worker = None;
+        }
+        self.pools = Some(pools);
+    }
+
+    /// Returns why the heartbeat is not one of the worker or of a successor; `None` if it may be.
+    fn oddity(&self, wall_ms: u64, heartbeat: &Heartbeat) -> Option<&'static str> {
+        let oddity = heartbeat.oddity(wall_ms);
+        if oddity.is_some() {
+            return oddity;
+        }
+        if self
+            .pools
+            .as_ref()
+            .is_some_and(|pools| !pools.contains(&heartbeat.pool))
+        {
+            return Some("the pool is not configured");
+        }
+        let last = self
+            .worker
+            .as_ref()
+            .map_or(0, |worker| worker.last_heartbeat);
+        let number_too_high = heartbeat.number > last.saturating_add(MAX_MISSED_HEARTBEATS);
+        number_too_high.then_some("the sequence number is too high")
+    }
+
+    /// Handles a heartbeat as [`Self::on_heartbeat`] does, unless it is odd. `wall_ms` is the
+    /// present time in Unix milliseconds.
+    pub fn on_heartbeat_at(
+        &mut self,
+        now: Uptime,
+        wall_ms: u64,
+        heartbeat: Heartbeat,
+        out: &mut Vec<Action>,
+    ) -> HeartbeatOutcome {
+        match self.oddity(wall_ms, &heartbeat) {
+            Some(reason) => HeartbeatOutcome::Odd(reason),
+            None => self.on_heartbeat(now, heartbeat, out),
+        }
+    }
+
     /// Handles a heartbeat. One of a new incarnation replaces the worker and ends its runs.
     pub fn on_heartbeat(
         &mut self,
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -97,6 +97,8 @@
     workers: IndexMap<Name, Worker>,
     /// Median ratio of run time to estimate, by pool.
     medians: IndexMap<Name, f64>,
+    /// Capacities and labels of the workers of all agents by the member list, linked or not.
+    offers: Vec<WorkerInfo>,
     /// Workers that have gained capacity, or accept runs again, since the last
     /// [`Fleet::take_freed`].
     freed: Vec<Name>,
@@ -281,18 +283,25 @@
             })
     }
 
-    /// Returns whether a known worker of the pool has the capacity and label for a task of the
-    /// step.
+    /// Replaces the descriptions of the workers of all agents, linked or not.
+    pub fn set_offers(&mut self, offers: Vec<WorkerInfo>) {
+        self.offers = offers;
+    }
+
+    /// Returns whether a known worker of the pool, linked or not, has the capacity and label for a
+    /// task of the step.
     ///
     /// Returns `true` if no worker of the pool is known.
     pub fn could_ever_run(&self, pool: &Name, step: &Step) -> bool {
+        let linked = self.workers.values().filter_map(|w| w.info.as_ref());
         let mut known = false;
-        for worker in self.workers.values().filter(|worker| worker.serves(pool)) {
+        for info in linked.chain(&self.offers) {
+            if info.pool.as_ref() != Some(pool) {
+                continue;
+            }
             known = true;
-            let capacity = worker.info.as_ref().map(|info| info.capacity);
-            let fits = step.needs.fits(capacity.unwrap_or_default());
-            let labelled = step.label.as_ref().is_none_or(|l| worker.has_label(l));
-            if fits && labelled {
+            let labelled = step.label.as_ref().is_none_or(|l| info.labels.contains(l));
+            if labelled && step.needs.fits(info.capacity) {
                 return true;
             }
         }
--- a/crates/core/src/pool/msg.rs
+++ b/crates/core/src/pool/msg.rs
@@ -105,6 +105,18 @@
     pub labels: Vec<Name>,
 }
 
+/// Maximum length in bytes of all names in a description that the member list carries; several
+/// records must fit into one datagram.
+const MAX_LISTED_NAME_BYTES: usize = 400;
+
+impl WorkerInfo {
+    /// Returns whether the description is short enough for the member list.
+    pub fn fits_member_list(&self) -> bool {
+        let names = self.pool.iter().chain(&self.labels);
+        names.map(|name| name.len() + 2).sum::<usize>() <= MAX_LISTED_NAME_BYTES
+    }
+}
+
 /// A message from an agent to an entry.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum ToEntry {
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -22,7 +22,7 @@
 use super::catalog::Queue;
 use super::fleet::Fleet;
 use super::job::{Job, JobId, RunId};
-use super::msg::{Peer, ToAgent};
+use super::msg::{Peer, ToAgent, WorkerInfo};
 use super::owners::Owners;
 use super::{MAX_TIME, Uptime, scaled};
 use crate::ids::Name;
@@ -102,6 +102,11 @@
         &self.fleet
     }
 
+    /// Replaces the descriptions of the workers of all agents, linked or not.
+    pub fn set_offers(&mut self, offers: Vec<WorkerInfo>) {
+        self.fleet.set_offers(offers);
+    }
+
     /// Returns the number of jobs that are not answered yet.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len()
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -3,6 +3,7 @@
 use super::super::fleet::Need;
 use super::super::job::Resources;
 use super::super::msg::{Start, ToAgent};
+use super::super::reach::Shortage;
 use super::super::{Uptime, millis};
 use super::{Action, Duration, JobId, Name, Note, Placed, Rank, Scheduler, TaskState, Tier};
 
@@ -219,6 +220,21 @@
         missed
     }
 
+    /// Returns what the first waiting task that found no worker needs, by the last placement.
+    pub fn shortage(&self) -> Option<Shortage> {
+        if !self.jobs_left_waiting {
+            return None;
+        }
+        let (_, _, id) = self.waiting.first()?;
+        let job = self.jobs.get(id)?;
+        let step = job.step(job.tasks.iter().find(|task| job.is_ready(task))?);
+        Some(Shortage {
+            pool: job.queue.pool.clone(),
+            needs: step.needs,
+            label: step.label.clone(),
+        })
+    }
+
     /// Tells agents when jobs start or stop waiting here. While some wait, agents report freed
     /// capacity at once.
     fn announce_waiting(&mut self, now: Uptime, out: &mut Vec<Action>) {
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -48,6 +48,7 @@
         state: MemberState::Alive,
         leaving: false,
         ready_for: 0,
+        offers: None,
     }
 }
 
--- a/crates/core/tests/support/tasks.rs
+++ b/crates/core/tests/support/tasks.rs
@@ -807,5 +807,6 @@
         state,
         leaving: false,
         ready_for,
+        offers: None,
     }
 }
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -15,6 +15,7 @@
 use rw_core::pool::catalog::{CallerLimits, Catalog, Queue, QueueTable};
 use rw_core::pool::job::{Job, JobId};
 use rw_core::pool::msg::PoolMsg;
+use rw_core::pool::reach::Reach;
 use rw_core::pool::scheduler::{Action, Answer, Scheduler};
 use rw_host::cluster::{Cluster, ClusterEvent};
 use rw_host::net::{Accepts, ConnId, HttpLimits, HttpRequest, HttpResponse, Net, NetEvent};
@@ -136,6 +137,7 @@
     net.listen(setup.readiness, Accepts::Http(READINESS_TAG))
         .map_err(error_at("listen for readiness checks"))?;
     let now = clock::uptime();
+    let reach = Reach::new(cluster.hello.node.name.clone());
     let mut daemon = Daemon {
         scheduler: Scheduler::new(now, fastrand::Rng::new()),
         net,
@@ -150,6 +152,9 @@
         next_tick: now,
         next_reload: now,
         ready: false,
+        later_entries: Vec::new(),
+        reach,
+        rng: fastrand::Rng::new(),
     };
     let mut events = Vec::new();
     let mut out = Vec::new();
@@ -196,6 +201,10 @@
     next_tick: Uptime,
     next_reload: Uptime,
     ready: bool,
+    /// Entries that this one keeps links to, with their addresses.
+    later_entries: Vec<(Name, SocketAddr)>,
+    reach: Reach,
+    rng: fastrand::Rng,
 }
 
 impl Daemon {
@@ -251,13 +260,43 @@
     }
 
     /// Keeps links to the entries whose names sort after that of this one, so that each pair of
-    /// entries has one link. Agents dial the entries themselves.
+    /// entries has one link. Agents dial the entries in their subsets themselves.
     fn on_members(&mut self, now: Uptime, members: &[Member]) {
         let own_name = self.cluster.hello.node.name.clone();
         let later = |m: &&Member| m.role == Role::Entry && m.node.name > own_name;
-        let targets = members.iter().filter(later);
-        let targets = targets.map(|m| (m.node.name.clone(), m.link)).collect();
-        self.peers.set_targets(now, targets);
+        let entries = members.iter().filter(later);
+        self.later_entries = entries.map(|m| (m.node.name.clone(), m.link)).collect();
+        self.reach.set_members(members);
+        let offers = self.reach.offers().map(|(_, info)| info.clone()).collect();
+        self.scheduler.set_offers(offers);
+        self.set_targets(now);
+    }
+
+    fn set_targets(&mut self, now: Uptime) {
+        let agents = self.reach.targets();
+        let agents = agents.map(|(name, addr)| (name.clone(), addr));
+        let entries = self.later_entries.iter().cloned();
+        self.peers.set_targets(now, entries.chain(agents).collect());
+    }
+
+    /// Opens links to further agents while tasks find no worker, and closes those of no more use.
+    fn update_reach(&mut self, now: Uptime) {
+        let shortage = self.scheduler.shortage();
+        let fleet = self.scheduler.fleet();
+        let Some(closing) = self
+            .reach
+            .tick(now, shortage.as_ref(), fleet, &mut self.rng)
+        else {
+            return;
+        };
+        self.set_targets(now);
+        log::info!(extra_links = self.reach.targets().count(), closing = closing.len();
+            "links to further agents changed");
+        for name in closing {
+            if let Some(hello) = self.peers.drop_dialled(now, &name, &mut self.net) {
+                self.on_link_lost(now, &hello);
+            }
+        }
     }
 
     fn on_net(&mut self, now: Uptime, event: NetEvent, out: &mut Vec<Action>) {
@@ -391,6 +430,7 @@
         }
         self.scheduler.tick(now, out);
         self.net.tick(now, events);
+        self.update_reach(now);
         self.peers.dial(now, &mut self.net);
         self.next_tick = now
             + if self.scheduler.open_jobs() > 0 {
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -13,6 +13,7 @@
 use rw_core::ids::{Name, NodeRef};
 use rw_core::members::{Gossip, Member, MemberState, Members, Outgoing};
 use rw_core::msg::{Ask, AskReply, Hello, Msg, Role};
+use rw_core::pool::msg::WorkerInfo;
 
 use serde::{Deserialize, Serialize};
 
@@ -24,8 +25,14 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Period after the start in which the member list is fetched again.
 const STARTUP_PERIOD: Duration = Duration::from_secs(3);
-/// Least time between two fetches of the member list during [`STARTUP_PERIOD`].
-const MEMBER_LIST_INTERVAL: Duration = Duration::from_millis(200);
+/// Time from the first fetch of the member list to the second one during [`STARTUP_PERIOD`]; doubles
+/// with each further one.
+const MEMBER_LIST_INTERVAL: Duration = Duration::from_millis(400);
+/// Number of fetches of the member list from whoever answers first, which is a seed. Further ones go
+/// to any member, so that the seeds are not loaded by all processes of a cluster that starts.
+const FETCHES_FROM_SEEDS: u32 = 2;
+/// Bound of the number of doublings of [`MEMBER_LIST_INTERVAL`].
+const STARTUP_DOUBLINGS: u32 = 4;
 /// Size of the receive buffer; longer datagrams are truncated and fail authentication.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
@@ -46,6 +53,7 @@
     Revision(u64),
     Ready(u64),
     Leaving,
+    Offers(Option<WorkerInfo>),
     Seeds(Vec<SocketAddr>),
 }
 
@@ -122,6 +130,7 @@
             state: MemberState::Alive,
             leaving: false,
             ready_for: 0,
+            offers: None,
         }
     }
 
@@ -151,6 +160,8 @@
             fetch_tx,
             started_at: Instant::now(),
             next_member_list: Instant::now(),
+            member_list_fetches: 0,
+            rng: fastrand::Rng::new(),
             shared,
             sink: self.sink.clone(),
             published_generation: 0,
@@ -194,6 +205,11 @@
         let _ = self.tx.send(Command::Ready(revision));
     }
 
+    /// Announces what the worker of this agent offers; `None` without a worker.
+    pub fn set_offers(&self, offers: Option<WorkerInfo>) {
+        let _ = self.tx.send(Command::Offers(offers));
+    }
+
     /// Announces that this process is shutting down.
     pub fn set_leaving(&self) {
         let _ = self.tx.send(Command::Leaving);
@@ -263,6 +279,9 @@
     fetch_tx: Sender<Fetch>,
     started_at: Instant,
     next_member_list: Instant,
+    /// Number of fetches of the member list so far.
+    member_list_fetches: u32,
+    rng: fastrand::Rng,
     shared: Arc<Mutex<Shared>>,
     sink: ClusterSink,
     published_generation: u64,
@@ -281,7 +300,7 @@
                 self.members.merge(now, members);
             }
             while let Ok(command) = self.rx.try_recv() {
-                self.on_command(&command);
+                self.on_command(command);
             }
             let out = self.members.tick(now);
             self.send(out);
@@ -305,10 +324,20 @@
         let starting =
             now.duration_since(self.started_at) < STARTUP_PERIOD && now >= self.next_member_list;
         if behind || !joined || starting {
-            self.next_member_list = now + MEMBER_LIST_INTERVAL;
+            let wants_members = !joined || starting;
+            let from = if wants_members && !behind {
+                self.member_list_source(gossip.link)
+            } else {
+                gossip.link
+            };
+            if wants_members {
+                let doublings = self.member_list_fetches.min(STARTUP_DOUBLINGS);
+                self.next_member_list = now + MEMBER_LIST_INTERVAL * 2_u32.pow(doublings);
+                self.member_list_fetches += 1;
+            }
             let fetch = Fetch {
-                from: gossip.link,
-                wants_members: !joined || starting,
+                from,
+                wants_members,
             };
             // The channel holds one request; a dropped one is repeated by the next datagram.
             let _ = self.fetch_tx.try_send(fetch);
@@ -317,15 +346,29 @@
         self.send(out);
     }
 
-    fn on_command(&mut self, command: &Command) {
+    /// Returns the member to fetch the next member list from: the sender of the present datagram at
+    /// first, then any.
+    fn member_list_source(&mut self, sender: SocketAddr) -> SocketAddr {
+        if self.member_list_fetches < FETCHES_FROM_SEEDS {
+            return sender;
+        }
+        let me = &self.members.me().node.name;
+        let alive = |m: &Member| m.state == MemberState::Alive && m.node.name != *me;
+        let members = self.members.list().into_iter().filter(alive);
+        let links: Vec<SocketAddr> = members.map(|m| m.link).collect();
+        self.rng.choice(links).unwrap_or(sender)
+    }
+
+    fn on_command(&mut self, command: Command) {
         match command {
             Command::Revision(revision) => {
-                let out = self.members.set_revision(*revision);
+                let out = self.members.set_revision(revision);
                 self.send(out);
             }
-            Command::Ready(revision) => self.members.update_me(|me| me.ready_for = *revision),
+            Command::Ready(revision) => self.members.update_me(|me| me.ready_for = revision),
+            Command::Offers(offers) => self.members.update_me(|me| me.offers = offers),
             Command::Leaving => self.members.update_me(|me| me.leaving = true),
-            Command::Seeds(seeds) => self.members.set_seeds(seeds.clone()),
+            Command::Seeds(seeds) => self.members.set_seeds(seeds),
         }
     }
 
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rw_core::ids::Name;
 use rw_core::msg::{Hello, Role};
 use rw_core::pool::Uptime;
@@ -30,6 +30,8 @@
     targets: IndexMap<Name, Target>,
     by_name: IndexMap<Name, ConnId>,
     by_conn: IndexMap<ConnId, Hello>,
+    /// The recorded links that this process has opened.
+    dialled: IndexSet<ConnId>,
 }
 
 impl Peers {
@@ -75,13 +77,16 @@
         }
         let name = hello.node.name.clone();
         if let Some(target) = self.targets.get_mut(&name) {
-            target.dialing = None;
+            if target.dialing.take() == Some(conn) {
+                self.dialled.insert(conn);
+            }
             target.backoff = FIRST_BACKOFF;
         }
         self.by_conn.insert(conn, hello);
         let older = self.by_name.insert(name, conn);
         if let Some(older) = older {
             self.by_conn.swap_remove(&older);
+            self.dialled.swap_remove(&older);
             net.close(older);
         }
         Some(older.is_some())
@@ -97,6 +102,7 @@
         {
             target.dialing = None;
         }
+        self.dialled.swap_remove(&conn);
         let hello = self.by_conn.swap_remove(&conn)?;
         if self.by_name.get(&hello.node.name) == Some(&conn) {
             self.by_name.swap_remove(&hello.node.name);
@@ -124,6 +130,27 @@
         self.by_conn.get(&conn)
     }
 
+    /// Closes the link with a peer if this process has dialled it, and returns that peer's identity.
+    pub fn drop_dialled(&mut self, now: Uptime, name: &Name, net: &mut Net) -> Option<Hello> {
+        let conn = self.by_name.get(name)?;
+        if !self.dialled.contains(conn) {
+            return None;
+        }
+        self.drop_link(now, name, net)
+    }
+
+    /// Returns the linked peers that this process has dialled and that are no targets any more.
+    pub fn dialled_without_target(&self) -> Vec<Name> {
+        let names = self
+            .dialled
+            .iter()
+            .filter_map(|conn| self.by_conn.get(conn));
+        names
+            .map(|hello| hello.node.name.clone())
+            .filter(|name| !self.targets.contains_key(name))
+            .collect()
+    }
+
     /// Returns all linked peers and their connections.
     pub fn linked(&self) -> impl Iterator<Item = (&Hello, ConnId)> {
         self.by_conn.iter().map(|(conn, hello)| (hello, *conn))
