The model of pooled jobs also closes links as a change of subset does

Cause: links now end on purpose, which the model of never two runs at once did not bring about. Change: a fault in which an agent begins or ends to close its link with an entry.

--- a/crates/core/tests/pool_properties.rs
+++ b/crates/core/tests/pool_properties.rs
@@ -80,6 +80,7 @@
         lost_call: 0,
         worker_crash: 0,
         disconnect: 0,
+        retire: 0,
     };
     let simulation = run(3, none);
     assert!(
--- a/crates/core/tests/support/pool.rs
+++ b/crates/core/tests/support/pool.rs
@@ -38,6 +38,8 @@
     pub lost_call: u32,
     pub worker_crash: u32,
     pub disconnect: u32,
+    /// An agent begins or ends to close its link with one entry.
+    pub retire: u32,
 }
 
 /// All faults at rates low enough that jobs complete between them.
@@ -49,6 +51,7 @@
     lost_call: 40,
     worker_crash: 1,
     disconnect: 4,
+    retire: 1,
 };
 
 /// All faults at rates higher than [`RARE_FAULTS`].
@@ -60,6 +63,7 @@
     lost_call: 80,
     worker_crash: 2,
     disconnect: 20,
+    retire: 20,
 };
 
 struct WorkerRun {
@@ -435,6 +439,15 @@
             let (low, high) = (e.min(other), e.max(other));
             self.peers[low][high].cut_until = [self.now + pause; 2];
         }
+        if self.chance(faults.retire) {
+            let retiring = if self.rng.bool() {
+                vec![self.entries[e].node.name.clone()]
+            } else {
+                Vec::new()
+            };
+            self.trace(format!("agent {a} retires its links with {retiring:?}"));
+            self.agents[a].driver.set_retiring(self.now, &retiring);
+        }
         if self.chance(faults.worker_crash) {
             self.next_incarnation += 1;
             self.agents[a].worker = Worker::new(&mut self.rng, self.next_incarnation);
