Fewer pings between many entries, member lists from any member, orders wait for an election

- Cause: with subsets, pings between entries were the largest part of an entry's links (34 links of 70 on the large site, five messages a second each way).
Change: above 16 entries their links are pinged every 500 ms and end after 1,750 ms; jobs begun are announced as often.
No permission rests on them.
All open jobs are announced on a new link: words lost with an earlier one left a job unknown.
Change: agents and control fetch one list from a seed, entries two; the others come from any member.

--- a/crates/control/src/operations.rs
+++ b/crates/control/src/operations.rs
@@ -1,7 +1,7 @@
 //! Operations that an [`OperatorProtocol`] can perform on a control node.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use flume::Sender;
 use rouille::{Request, Response};
@@ -14,6 +14,11 @@
 
 /// Maximum time to wait for a change to be committed. Operators ask another node after 1 s.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time within which an election usually ends; below the second after which operators ask another
+/// node.
+const ELECTION_TIME: Duration = Duration::from_millis(400);
+/// Pause between two tries of a request during an election.
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum time for the event loop to accept a request, or to answer a read.
 const EVENT_LOOP_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -45,6 +50,23 @@
     Unconfirmed,
 }
 
+/// Repeats a request while no leader is known, for at most [`ELECTION_TIME`], so that it succeeds
+/// once one is elected. Operators who are sent away come back only after a pause.
+fn during_election<T, N, F>(no_leader: N, request: F) -> T
+where
+    N: Fn(&T) -> bool,
+    F: Fn() -> T,
+{
+    let until = Instant::now() + ELECTION_TIME;
+    loop {
+        let outcome = request();
+        if !no_leader(&outcome) || Instant::now() >= until {
+            return outcome;
+        }
+        std::thread::sleep(RETRY_INTERVAL);
+    }
+}
+
 /// Translates between [`Operations`] and the HTTP protocol of the operators.
 pub trait OperatorProtocol: Send + Sync {
     /// Handles one request.
@@ -69,7 +91,6 @@
             return PublishOutcome::Invalid(e.to_string());
         }
         let version = catalog.version;
-        let (tx, rx) = flume::bounded(1);
         let change = Change::Publish {
             catalog: Arc::new(catalog),
         };
@@ -78,15 +99,20 @@
             base: u64::MAX,
             change,
         };
-        if self
-            .tx
-            .send_timeout(Event::Change(req, tx), EVENT_LOOP_TIMEOUT)
-            .is_err()
-        {
-            log::warn!(version = version; "catalogue not published: event queue is full");
+        let no_leader = |outcome: &PublishOutcome| *outcome == PublishOutcome::Elsewhere(None);
+        let published = during_election(no_leader, || self.propose(&req));
+        log::info!(version = version, outcome:? = published; "catalogue publication finished");
+        published
+    }
+
+    fn propose(&self, req: &ChangeRequest) -> PublishOutcome {
+        let (tx, rx) = flume::bounded(1);
+        let event = Event::Change(req.clone(), tx);
+        if self.tx.send_timeout(event, EVENT_LOOP_TIMEOUT).is_err() {
+            log::warn!("change not proposed: event queue is full");
             return PublishOutcome::Undecided;
         }
-        let published = match rx.recv_timeout(CHANGE_TIMEOUT) {
+        match rx.recv_timeout(CHANGE_TIMEOUT) {
             Ok(ChangeReply::Outcome(ChangeOutcome::Applied { .. })) => PublishOutcome::Kept,
             Ok(ChangeReply::Outcome(ChangeOutcome::Conflict { .. })) => {
                 PublishOutcome::OtherContent
@@ -96,13 +122,16 @@
             }
             Ok(ChangeReply::NotLeader(leader)) => PublishOutcome::Elsewhere(leader),
             Err(_) => PublishOutcome::Undecided,
-        };
-        log::info!(version = version, outcome:? = published; "catalogue publication finished");
-        published
+        }
     }
 
     /// Returns the latest catalogue, as confirmed by a majority.
     pub fn latest(&self) -> ReadOutcome {
+        let no_leader = |outcome: &ReadOutcome| *outcome == ReadOutcome::NotLeader(None);
+        during_election(no_leader, || self.read())
+    }
+
+    fn read(&self) -> ReadOutcome {
         let (tx, rx) = flume::bounded(1);
         if self
             .tx
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -34,6 +34,43 @@
 /// Interval between keep-alive messages on an idle link; three may be lost before the link times
 /// out.
 pub const PING_EVERY: Duration = Duration::from_millis(200);
+/// The timing of keep-alive messages on a link.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KeepAlive {
+    /// Time since the last message after which one is sent.
+    pub ping_every: Duration,
+    /// Time without messages after which the link is closed.
+    pub silence_timeout: Duration,
+}
+
+impl KeepAlive {
+    /// On links between entries and agents.
+    pub const AGENT: Self = Self {
+        ping_every: PING_EVERY,
+        silence_timeout: SILENCE_TIMEOUT,
+    };
+    /// Number of entries up to which their links are kept alive as those with agents.
+    pub const FEW_ENTRIES: usize = 16;
+    /// Between entries, if there are more: each has a link to all others, whose pings would cost
+    /// more than its work. No permission rests on these links; the loss of an entry is only noticed
+    /// later by those that wait for a job of it.
+    ///
+    /// The interval is below the shorter timeout, which a process that knows of few entries may use.
+    pub const MANY_ENTRIES: Self = Self {
+        ping_every: Duration::from_millis(500),
+        silence_timeout: Duration::from_millis(1750),
+    };
+
+    /// Returns the timing on links between entries in a cluster with this number of entries.
+    pub fn between_entries(entries: usize) -> Self {
+        if entries <= Self::FEW_ENTRIES {
+            Self::AGENT
+        } else {
+            Self::MANY_ENTRIES
+        }
+    }
+}
+
 /// Lease that agents request from workers: long enough that several renewals may be lost, short
 /// enough that runs on a lost worker are soon known to have ended.
 pub const LEASE: Duration = Duration::from_millis(500);
--- a/crates/core/src/pool/owners.rs
+++ b/crates/core/src/pool/owners.rs
@@ -1,8 +1,8 @@
 //! Records which other entry may run which job.
 //!
-//! Entries announce the jobs that they started to one another every 200 ms. A caller that got no
-//! answer sends a job again after 1,300 ms at the earliest, so that the announcement arrives before
-//! the job. A caller whose connection was reset may send it to another entry within milliseconds. A
+//! Entries announce the jobs that they started to one another whenever a keep-alive message is due,
+//! and all open ones on a new link. A caller that got no answer sends a job again after 1,300 ms at
+//! the earliest, so that the announcement arrives before the job. A caller whose connection was reset may send it to another entry within milliseconds. A
 //! job that is removed while runs of it are left is therefore announced at once.
 
 use std::collections::VecDeque;
@@ -11,11 +11,9 @@
 use indexmap::IndexMap;
 
 use super::job::JobId;
-use super::{LEASE_EXPIRY_MARGIN, SILENCE_TIMEOUT, Uptime, WORKER_LEASE};
+use super::{KeepAlive, LEASE_EXPIRY_MARGIN, SILENCE_TIMEOUT, Uptime, WORKER_LEASE};
 use crate::ids::Name;
 
-/// Interval between announcements of started jobs.
-pub const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which another entry's job is kept; longer than a caller waits for an answer.
 const RETENTION: Duration = Duration::from_secs(12);
 /// Maximum number of announcements kept; the oldest are dropped first.
@@ -27,7 +25,7 @@
     .saturating_add(LEASE_EXPIRY_MARGIN);
 
 /// The jobs of other entries, and the jobs of this entry that are to be announced.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Owners {
     /// The entry that announced each job last, and when.
     jobs: IndexMap<JobId, (Name, Uptime)>,
@@ -39,9 +37,28 @@
     /// Started jobs that are not announced yet.
     unannounced: Vec<JobId>,
     next_announcement: Uptime,
+    announce_interval: Duration,
+}
+
+impl Default for Owners {
+    fn default() -> Self {
+        Self {
+            jobs: IndexMap::new(),
+            announcements: VecDeque::new(),
+            peers: IndexMap::new(),
+            unannounced: Vec::new(),
+            next_announcement: Uptime::ZERO,
+            announce_interval: KeepAlive::AGENT.ping_every,
+        }
+    }
 }
 
 impl Owners {
+    /// Sets the interval between announcements of started jobs.
+    pub fn set_announce_interval(&mut self, interval: Duration) {
+        self.announce_interval = interval;
+    }
+
     /// Handles a new link to another entry.
     pub fn link_up(&mut self, entry: &Name) {
         self.peers.insert(entry.clone(), None);
@@ -124,7 +141,7 @@
         if now < self.next_announcement {
             return Vec::new();
         }
-        self.next_announcement = now + ANNOUNCE_INTERVAL;
+        self.next_announcement = now + self.announce_interval;
         std::mem::take(&mut self.unannounced)
     }
 }
--- a/crates/core/src/pool/scheduler/peers.rs
+++ b/crates/core/src/pool/scheduler/peers.rs
@@ -1,13 +1,24 @@
 //! Links to other entries: the jobs that they started, and the handover of jobs.
 
-use super::super::Uptime;
 use super::super::msg::Peer;
+use super::super::{KeepAlive, Uptime};
 use super::{Action, Hold, JobId, Name, Note, Scheduler};
 
 impl Scheduler {
-    /// Handles a new link to another entry.
-    pub fn peer_up(&mut self, entry: &Name) {
+    /// Sets the number of entries, on which the interval between announcements depends.
+    pub fn set_entry_count(&mut self, entries: usize) {
+        let interval = KeepAlive::between_entries(entries).ping_every;
+        self.owners.set_announce_interval(interval);
+    }
+
+    /// Handles a new link to another entry: announces all open jobs, since announcements may have
+    /// been lost with an earlier link.
+    pub fn peer_up(&mut self, entry: &Name, out: &mut Vec<Action>) {
         self.owners.link_up(entry);
+        let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
+        if !jobs.is_empty() {
+            out.push(Action::Peer(entry.clone(), Peer::JobsStarted { jobs }));
+        }
     }
 
     /// Handles the loss of the link to another entry.
--- a/crates/core/tests/pool_scheduler.rs
+++ b/crates/core/tests/pool_scheduler.rs
@@ -285,7 +285,7 @@
 fn a_job_of_another_entry_runs_only_after_that_entry_has_yielded_it() {
     let mut harness = Harness::new(&["a0"]);
     let peer: Name = "e1".into();
-    harness.scheduler.peer_up(&peer);
+    harness.scheduler.peer_up(&peer, &mut harness.out);
     let jobs = vec![JobId(1)];
     harness.scheduler.on_peer(
         harness.now,
@@ -305,11 +305,28 @@
     assert_eq!(harness.starts().len(), 1);
 }
 
+#[test]
+fn open_jobs_are_announced_on_a_new_link_since_earlier_words_may_be_lost() {
+    let mut harness = Harness::new(&["a0"]);
+    let peer: Name = "e1".into();
+    harness.submit(job(1, 1, cpu(1000)), 7);
+    harness.advance(300 * MS);
+    harness.take_actions();
+    harness.scheduler.peer_up(&peer, &mut harness.out);
+    let announced = harness.out.iter().any(|action| {
+        let Action::Peer(to, Peer::JobsStarted { jobs }) = action else {
+            return false;
+        };
+        *to == peer && jobs.contains(&JobId(1))
+    });
+    assert!(announced, "{:?}", harness.out);
+}
+
 #[test]
 fn a_job_of_a_lost_entry_runs_only_after_its_leases_have_expired() {
     let mut harness = Harness::new(&["a0"]);
     let peer: Name = "e1".into();
-    harness.scheduler.peer_up(&peer);
+    harness.scheduler.peer_up(&peer, &mut harness.out);
     let jobs = vec![JobId(1)];
     harness.scheduler.on_peer(
         harness.now,
@@ -332,7 +349,7 @@
 fn a_yield_is_confirmed_only_when_no_run_is_left() {
     let mut harness = Harness::new(&["a0"]);
     let peer: Name = "e1".into();
-    harness.scheduler.peer_up(&peer);
+    harness.scheduler.peer_up(&peer, &mut harness.out);
     harness.submit(job(1, 1, cpu(1000)), 7);
     let run = harness.starts()[0].1.run;
     harness.take_actions();
@@ -574,8 +591,8 @@
 fn a_job_resubmitted_to_another_entry_at_once_waits_for_the_first_to_yield() {
     let (mut first, mut second) = (Harness::new(&["a"]), Harness::new(&["b"]));
     let (e1, e2) = (Name::from("e1"), Name::from("e2"));
-    first.scheduler.peer_up(&e2);
-    second.scheduler.peer_up(&e1);
+    first.scheduler.peer_up(&e2, &mut first.out);
+    second.scheduler.peer_up(&e1, &mut second.out);
     first.submit(job(7, 2, cpu(1000)), 1);
     let runs: Vec<RunId> = first.starts().iter().map(|(_, start)| start.run).collect();
     first.take_actions();
--- a/crates/core/tests/support/pool.rs
+++ b/crates/core/tests/support/pool.rs
@@ -778,6 +778,7 @@
             now >= self.entries[high].suspended_until,
         ];
         let sides = [low, high];
+        let mut up = Vec::new();
         let mut link = std::mem::take(&mut self.peers[low][high]);
         Self::close_if_silent(&mut link, now, running);
         for side in 0..2 {
@@ -795,11 +796,18 @@
             link.in_transit = [VecDeque::new(), VecDeque::new()];
             for side in 0..2 {
                 let other = self.entries[sides[1 - side]].node.name.clone();
-                self.entries[sides[side]].scheduler.peer_up(&other);
+                let mut out = Vec::new();
+                self.entries[sides[side]]
+                    .scheduler
+                    .peer_up(&other, &mut out);
+                up.push((sides[side], out));
             }
         }
         let arrived = Self::deliver(&mut link, now, running);
         self.peers[low][high] = link;
+        for (e, out) in up {
+            self.apply_entry(e, out);
+        }
         for (side, payload) in arrived {
             if let Payload::Peer(msg) = payload {
                 let other = self.entries[sides[1 - side]].node.name.clone();
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -11,12 +11,12 @@
 use rw_core::ids::Name;
 use rw_core::members::Member;
 use rw_core::msg::{Msg, Role};
-use rw_core::pool::Uptime;
 use rw_core::pool::catalog::{CallerLimits, Catalog, Queue, QueueTable};
 use rw_core::pool::job::{Job, JobId};
 use rw_core::pool::msg::PoolMsg;
 use rw_core::pool::reach::Reach;
 use rw_core::pool::scheduler::{Action, Answer, Scheduler};
+use rw_core::pool::{KeepAlive, Uptime};
 use rw_host::cluster::{Cluster, ClusterEvent};
 use rw_host::net::{Accepts, ConnId, HttpLimits, HttpRequest, HttpResponse, Net, NetEvent};
 use rw_host::peers::Peers;
@@ -153,6 +153,7 @@
         next_reload: now,
         ready: false,
         later_entries: Vec::new(),
+        entry_count: 1,
         reach,
         rng: fastrand::Rng::new(),
     };
@@ -203,6 +204,8 @@
     ready: bool,
     /// Entries that this one keeps links to, with their addresses.
     later_entries: Vec<(Name, SocketAddr)>,
+    /// Number of entries in the member list, this one included, whatever their state.
+    entry_count: usize,
     reach: Reach,
     rng: fastrand::Rng,
 }
@@ -264,6 +267,8 @@
     fn on_members(&mut self, now: Uptime, members: &[Member]) {
         let own_name = self.cluster.hello.node.name.clone();
         let later = |m: &&Member| m.role == Role::Entry && m.node.name > own_name;
+        let entry_count = members.iter().filter(|m| m.role == Role::Entry).count();
+        self.set_entry_count(entry_count);
         let entries = members.iter().filter(later);
         self.later_entries = entries.map(|m| (m.node.name.clone(), m.link)).collect();
         self.reach.set_members(members);
@@ -272,6 +277,21 @@
         self.set_targets(now);
     }
 
+    /// Adapts the keep-alive of the links to other entries to the number of entries.
+    fn set_entry_count(&mut self, entries: usize) {
+        if entries == self.entry_count {
+            return;
+        }
+        self.entry_count = entries;
+        self.scheduler.set_entry_count(entries);
+        let keep_alive = KeepAlive::between_entries(entries);
+        for (hello, conn) in self.peers.linked() {
+            if hello.role == Role::Entry {
+                self.net.set_keep_alive(conn, keep_alive);
+            }
+        }
+    }
+
     fn set_targets(&mut self, now: Uptime) {
         let agents = self.reach.targets();
         let agents = agents.map(|(name, addr)| (name.clone(), addr));
@@ -316,7 +336,11 @@
                 log::info!(peer:% = name, role:? = role, replaced = replaced; "link up");
                 match role {
                     Role::Agent => self.scheduler.agent_up(now, &name, out),
-                    Role::Entry => self.scheduler.peer_up(&name),
+                    Role::Entry => {
+                        let keep_alive = KeepAlive::between_entries(self.entry_count);
+                        self.net.set_keep_alive(conn, keep_alive);
+                        self.scheduler.peer_up(&name, out);
+                    }
                     Role::Control | Role::Tool => {}
                 }
             }
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -30,7 +30,10 @@
 const MEMBER_LIST_INTERVAL: Duration = Duration::from_millis(400);
 /// Number of fetches of the member list from whoever answers first, which is a seed. Further ones go
 /// to any member, so that the seeds are not loaded by all processes of a cluster that starts.
-const FETCHES_FROM_SEEDS: u32 = 2;
+const FETCHES_FROM_SEEDS: u32 = 1;
+/// As [`FETCHES_FROM_SEEDS`], for entries. In a cluster that starts, the first list is incomplete;
+/// entries learn of all agents from the second one and introduce themselves to them.
+const FETCHES_FROM_SEEDS_BY_ENTRIES: u32 = 2;
 /// Bound of the number of doublings of [`MEMBER_LIST_INTERVAL`].
 const STARTUP_DOUBLINGS: u32 = 4;
 /// Size of the receive buffer; longer datagrams are truncated and fail authentication.
@@ -349,10 +352,16 @@
     /// Returns the member to fetch the next member list from: the sender of the present datagram at
     /// first, then any.
     fn member_list_source(&mut self, sender: SocketAddr) -> SocketAddr {
-        if self.member_list_fetches < FETCHES_FROM_SEEDS {
+        let me = self.members.me();
+        let from_seeds = if me.role == Role::Entry {
+            FETCHES_FROM_SEEDS_BY_ENTRIES
+        } else {
+            FETCHES_FROM_SEEDS
+        };
+        if self.member_list_fetches < from_seeds {
             return sender;
         }
-        let me = &self.members.me().node.name;
+        let me = &me.node.name;
         let alive = |m: &Member| m.state == MemberState::Alive && m.node.name != *me;
         let members = self.members.list().into_iter().filter(alive);
         let links: Vec<SocketAddr> = members.map(|m| m.link).collect();
--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -18,7 +18,7 @@
 use mio::{Events, Interest, Poll, Token, Waker};
 use rw_core::codec::ClusterKey;
 use rw_core::msg::{Hello, Msg};
-use rw_core::pool::Uptime;
+use rw_core::pool::{KeepAlive, Uptime};
 
 pub use http::{HttpLimits, HttpRequest, HttpResponse, request_bytes};
 pub(crate) use http::{Parsed, parse_request, response_bytes};
@@ -213,6 +213,13 @@
         }
     }
 
+    /// Sets the timing of keep-alive messages on a link.
+    pub fn set_keep_alive(&mut self, id: ConnId, keep_alive: KeepAlive) {
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.keep_alive = keep_alive;
+        }
+    }
+
     /// Closes a connection without sending its queued output. No event follows.
     pub fn close(&mut self, id: ConnId) {
         if let Some(mut conn) = self.conns.swap_remove(&id) {
--- a/crates/host/src/net/conn.rs
+++ b/crates/host/src/net/conn.rs
@@ -7,7 +7,7 @@
 use mio::net::TcpStream;
 use rw_core::codec::ClusterKey;
 use rw_core::msg::{Hello, Msg};
-use rw_core::pool::{PING_EVERY, SILENCE_TIMEOUT, Uptime};
+use rw_core::pool::{KeepAlive, Uptime};
 
 use super::http::{
     HttpLimits, HttpResponse, Parsed, parse_request, parse_response, response_bytes,
@@ -71,6 +71,7 @@
     last_received: Uptime,
     /// When the last message was queued on a link.
     last_sent: Uptime,
+    pub(super) keep_alive: KeepAlive,
     link: Option<LinkSession>,
 }
 
@@ -94,6 +95,7 @@
             request_started: None,
             last_received: now,
             last_sent: now,
+            keep_alive: KeepAlive::AGENT,
             link: None,
         }
     }
@@ -366,14 +368,14 @@
                 None => now >= self.last_received + limits.idle_time,
             },
             ConnKind::Calls => false,
-            ConnKind::Link => now >= self.last_received + SILENCE_TIMEOUT,
+            ConnKind::Link => now >= self.last_received + self.keep_alive.silence_timeout,
         }
     }
 
-    /// Queues a ping on a link that has sent nothing for [`PING_EVERY`]. Returns whether it did.
+    /// Queues a ping on a link that has sent nothing for the time of its keep-alive. Returns whether it did.
     pub(super) fn ping(&mut self, now: Uptime) -> bool {
         let is_up = self.link.as_ref().is_some_and(LinkSession::is_up);
-        if !is_up || now < self.last_sent + PING_EVERY {
+        if !is_up || now < self.last_sent + self.keep_alive.ping_every {
             return false;
         }
         self.send(now, &Msg::Ping);
