--- a/crates/core/src/dispatcher/admit.rs
+++ b/crates/core/src/dispatcher/admit.rs
@@ -223,6 +223,10 @@
         if self.fleet.any_worker_fits(&spec.service, spec.needs) == Some(false) {
             return refuse(FailureKind::NeverFits, "no worker is large enough".into());
         }
+        if !cluster.tenants.contains_key(&spec.tenant) {
+            // Removed while the job's key was being claimed.
+            return refuse(FailureKind::UnknownTenant, "no such tenant".into());
+        }
         let tasks = spec.tasks.len() as u32;
         let limit = if service.value.max_queued_tasks == 0 {
             MAX_QUEUED_TASKS
