Split the agent's driver and the entry's daemon; labels of workers may be empty

A heartbeat with an empty label is no longer taken for an odd one: nothing says that labels are never empty.

--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -6,6 +6,7 @@
 //! either requested after a stop was answered, which blocks any later start of that attempt, or
 //! states a clock beyond the start's deadline.
 
+mod answers;
 mod call;
 mod lists;
 mod note;
@@ -24,7 +25,6 @@
 use crate::ids::{Name, NodeRef};
 
 pub use call::{Call, EndedRow, Reply, RunningRow, StartRefusal};
-use lists::ListTime;
 pub use note::Note;
 pub use worker::{Heartbeat, HeartbeatOutcome, HeartbeatState};
 
@@ -366,177 +366,6 @@
         self.runs.values().any(|run| run.owner.is_none())
     }
 
-    /// Issues a call and records it until it is answered or times out.
-    fn call(&mut self, now: Uptime, call: Call, timeout: Duration, out: &mut Vec<Action>) {
-        let id = self.next_call;
-        self.next_call += 1;
-        let pending = PendingCall {
-            call: call.clone(),
-            sent: now,
-            timeout: now + timeout,
-        };
-        self.calls.insert(id, pending);
-        out.push(Action::Call(id, call));
-    }
-
-    /// Returns the time to wait for the answer to a call.
-    fn call_timeout(&self) -> Duration {
-        let timeout = self.mean_response_time * TIMEOUT_FACTOR + TIMEOUT_MARGIN;
-        timeout.clamp(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT)
-    }
-
-    /// Returns a lower bound of the worker's present clock in milliseconds, if its clock is known.
-    fn worker_clock(&self, now: Uptime) -> Option<u64> {
-        let (clock, received) = self.worker.as_ref()?.clock?;
-        Some(clock + now.saturating_sub(received).as_millis() as u64)
-    }
-
-    /// Handles the outcome of the call with this number. `clock_ms` is the worker's clock in
-    /// milliseconds, if the answer states it. Outcomes of abandoned calls are ignored.
-    pub fn on_reply(
-        &mut self,
-        now: Uptime,
-        id: u64,
-        reply: Reply,
-        clock_ms: Option<u64>,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(pending) = self.calls.swap_remove(&id) else {
-            return;
-        };
-        if matches!(reply, Reply::NotSent | Reply::Unknown) {
-            self.on_no_answer(now, &pending, reply == Reply::NotSent, out);
-        } else {
-            self.on_answer(now, pending, reply, clock_ms, out);
-        }
-        self.start_queued(now, out);
-        self.request_list(now, out);
-        self.report(now, out);
-    }
-
-    fn on_answer(
-        &mut self,
-        now: Uptime,
-        pending: PendingCall,
-        reply: Reply,
-        clock_ms: Option<u64>,
-        out: &mut Vec<Action>,
-    ) {
-        self.unanswered = 0;
-        self.last_answer = now;
-        let lossy = self
-            .last_lost_call
-            .is_some_and(|at| now < at + LOSSY_PERIOD);
-        if lossy && !self.unresponsive {
-            self.flaky_until = Some(now + LOSSY_PERIOD);
-        }
-        if std::mem::take(&mut self.unresponsive) {
-            out.push(Action::Note(Note::WorkerRecovered));
-        }
-        if reply == Reply::OtherWorker {
-            self.worker_gone(now, out);
-            return;
-        }
-        if !matches!(pending.call, Call::List { .. }) {
-            let took = now.saturating_sub(pending.sent);
-            self.mean_response_time = (self.mean_response_time * 7 + took) / 8;
-        }
-        if let (Some(worker), Some(clock)) = (&mut self.worker, clock_ms) {
-            worker.clock = Some((clock, now));
-        }
-        self.note_lease(&pending.call, &reply);
-        match (pending.call, reply) {
-            (Call::Start { run, .. }, Reply::Started) => self.on_started(now, run),
-            (Call::Start { run, .. }, Reply::Refused(why)) => {
-                self.on_start_refused(now, run, why, out);
-            }
-            (Call::Stop { run }, _) => self.on_stop_answered(now, run),
-            (
-                Call::List { .. },
-                Reply::Lists {
-                    start_time_ms,
-                    running,
-                    ended,
-                },
-            ) => {
-                let requested = ListTime {
-                    requested: pending.sent,
-                    clock_ms,
-                };
-                self.on_lists(now, requested, start_time_ms, &running, &ended, out);
-            }
-            (Call::Start { run, .. }, _) => self.on_start_unanswered(now, run, pending.sent, out),
-            (Call::List { .. }, _) => {}
-        }
-    }
-
-    /// Records how long the worker's lease lasts at least after an answered call.
-    fn note_lease(&mut self, call: &Call, reply: &Reply) {
-        let deadline = match (call, reply) {
-            (Call::Start { deadline_ms, .. }, Reply::Started) => Some(*deadline_ms),
-            (Call::List { deadline_ms, .. }, Reply::Lists { .. }) => *deadline_ms,
-            _ => None,
-        };
-        if let (Some(worker), Some(deadline)) = (&mut self.worker, deadline) {
-            worker.lease_until = worker.lease_until.max(deadline);
-        }
-    }
-
-    fn on_no_answer(
-        &mut self,
-        now: Uptime,
-        pending: &PendingCall,
-        not_sent: bool,
-        out: &mut Vec<Action>,
-    ) {
-        self.unanswered += 1;
-        self.last_lost_call = Some(now);
-        let is_flaky = self.flaky_until.is_some_and(|until| now < until);
-        let limit = if is_flaky {
-            FLAKY_UNRESPONSIVE_TIME
-        } else {
-            UNRESPONSIVE_TIME
-        };
-        // A refused connection proves at once that no process is listening.
-        let silent = not_sent || now.saturating_sub(self.last_answer) >= limit;
-        if !self.unresponsive && self.unanswered >= UNRESPONSIVE_CALLS && silent {
-            self.unresponsive = true;
-            self.next_list = now + UNRESPONSIVE_LIST_INTERVAL / 3;
-            out.push(Action::Note(Note::WorkerUnresponsive {
-                calls: self.unanswered,
-                since: now.saturating_sub(self.last_answer),
-            }));
-            self.refuse_queued(NotStarted::NoWorker, out);
-        }
-        match &pending.call {
-            Call::Start { run, .. } if not_sent => {
-                self.refuse(*run, NotStarted::NoWorker, out);
-            }
-            Call::Start { run, .. } => self.on_start_unanswered(now, *run, pending.sent, out),
-            Call::Stop { run } => {
-                if let Some(run) = self.runs.get_mut(run) {
-                    run.stop_in_flight = false;
-                }
-            }
-            Call::List { .. } => {}
-        }
-    }
-
-    fn expire_calls(&mut self, now: Uptime, out: &mut Vec<Action>) {
-        let expired: Vec<u64> = self
-            .calls
-            .iter()
-            .filter(|(_, pending)| now >= pending.timeout)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in expired {
-            out.push(Action::DropCall(id));
-            if let Some(pending) = self.calls.swap_remove(&id) {
-                self.on_no_answer(now, &pending, false, out);
-            }
-        }
-    }
-
     /// Removes a run and reports to its owner that it was not started.
     fn refuse(&mut self, run: RunId, reason: NotStarted, out: &mut Vec<Action>) {
         let Some(removed) = self.runs.swap_remove(&run) else {
--- a/crates/core/src/pool/driver/worker.rs
+++ b/crates/core/src/pool/driver/worker.rs
@@ -68,8 +68,9 @@
         if !named(&self.id) || !named(&self.pool) {
             return Some("the id or the pool is empty or too long");
         }
-        if self.labels.len() > MAX_LABELS || !self.labels.iter().all(named) {
-            return Some("there are too many labels, or one is empty or too long");
+        let too_long = |label: &Name| label.len() > MAX_NAME_BYTES;
+        if self.labels.len() > MAX_LABELS || self.labels.iter().any(too_long) {
+            return Some("there are too many labels, or one is too long");
         }
         if self.start_time_ms > wall_ms.saturating_add(MAX_CLOCK_ERROR_MS) {
             return Some("the start time is in the future");
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -1,6 +1,7 @@
 //! The entry's daemon for pooled jobs: one thread that passes callers' requests and the messages of
 //! agents and other entries to the scheduler and carries out its actions.
 
+mod links;
 mod notes;
 
 use std::io;
@@ -9,7 +10,6 @@
 use std::time::Duration;
 
 use rw_core::ids::Name;
-use rw_core::members::Member;
 use rw_core::msg::{Msg, Role};
 use rw_core::pool::catalog::{CallerLimits, Catalog, Queue, QueueTable};
 use rw_core::pool::job::{Job, JobId};
@@ -262,63 +262,6 @@
         self.net.set_limits(http_limits(&catalog.limits));
     }
 
-    /// Keeps links to the entries whose names sort after that of this one, so that each pair of
-    /// entries has one link. Agents dial the entries in their subsets themselves.
-    fn on_members(&mut self, now: Uptime, members: &[Member]) {
-        let own_name = self.cluster.hello.node.name.clone();
-        let later = |m: &&Member| m.role == Role::Entry && m.node.name > own_name;
-        let entry_count = members.iter().filter(|m| m.role == Role::Entry).count();
-        self.set_entry_count(entry_count);
-        let entries = members.iter().filter(later);
-        self.later_entries = entries.map(|m| (m.node.name.clone(), m.link)).collect();
-        self.reach.set_members(members);
-        let offers = self.reach.offers().map(|(_, info)| info.clone()).collect();
-        self.scheduler.set_offers(offers);
-        self.set_targets(now);
-    }
-
-    /// Adapts the keep-alive of the links to other entries to the number of entries.
-    fn set_entry_count(&mut self, entries: usize) {
-        if entries == self.entry_count {
-            return;
-        }
-        self.entry_count = entries;
-        self.scheduler.set_entry_count(entries);
-        let keep_alive = KeepAlive::between_entries(entries);
-        for (hello, conn) in self.peers.linked() {
-            if hello.role == Role::Entry {
-                self.net.set_keep_alive(conn, keep_alive);
-            }
-        }
-    }
-
-    fn set_targets(&mut self, now: Uptime) {
-        let agents = self.reach.targets();
-        let agents = agents.map(|(name, addr)| (name.clone(), addr));
-        let entries = self.later_entries.iter().cloned();
-        self.peers.set_targets(now, entries.chain(agents).collect());
-    }
-
-    /// Opens links to further agents while tasks find no worker, and closes those of no more use.
-    fn update_reach(&mut self, now: Uptime) {
-        let shortage = self.scheduler.shortage();
-        let fleet = self.scheduler.fleet();
-        let Some(closing) = self
-            .reach
-            .tick(now, shortage.as_ref(), fleet, &mut self.rng)
-        else {
-            return;
-        };
-        self.set_targets(now);
-        log::info!(extra_links = self.reach.targets().count(), closing = closing.len();
-            "links to further agents changed");
-        for name in closing {
-            if let Some(hello) = self.peers.drop_dialled(now, &name, &mut self.net) {
-                self.on_link_lost(now, &hello);
-            }
-        }
-    }
-
     fn on_net(&mut self, now: Uptime, event: NetEvent, out: &mut Vec<Action>) {
         match event {
             NetEvent::Request(conn, CALLERS_TAG, req) => {
@@ -354,16 +297,6 @@
         }
     }
 
-    fn on_link_lost(&mut self, now: Uptime, hello: &rw_core::msg::Hello) {
-        let name = &hello.node.name;
-        log::warn!(peer:% = name, role:? = hello.role; "link lost");
-        match hello.role {
-            Role::Agent => self.scheduler.agent_down(now, name),
-            Role::Entry => self.scheduler.peer_down(now, name),
-            Role::Control | Role::Tool => {}
-        }
-    }
-
     fn on_msg(&mut self, now: Uptime, conn: ConnId, msg: Msg, out: &mut Vec<Action>) {
         if let Msg::Ask(ask) = msg {
             let answer = answer_ask(&self.cluster, &ask);
@@ -519,19 +452,6 @@
             None => self.net.close(conn),
         }
     }
-
-    fn drop_links(&mut self, now: Uptime) {
-        let linked: Vec<Name> = self
-            .peers
-            .linked()
-            .map(|(h, _)| h.node.name.clone())
-            .collect();
-        for name in linked {
-            if let Some(hello) = self.peers.drop_link(now, &name, &mut self.net) {
-                self.on_link_lost(now, &hello);
-            }
-        }
-    }
 }
 
 /// Returns the catalogue's limits, completed with the defaults.
