--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 cd "$folder/../.." || exit 2
 program=review/standins/target/release/review-standins
 [ -x "$program" ] && [ -x target/release/rw-platform-entry ] || { echo "not built" >&2; exit 2; }
-exec "$program" lost-cancel "$folder/record.txt"
+exec "$program" slow-clock "$folder/record.txt"
--- a/review/standins/src/cluster.rs
+++ b/review/standins/src/cluster.rs
@@ -95,6 +95,8 @@
     pub controls: u8,
     pub entries: u8,
     pub agents: u8,
+    /// Speed of the workers' steady clocks; 0.98 is 2% slow.
+    pub clock_rate: f64,
 }
 
 impl Cluster {
@@ -122,7 +124,15 @@
             let process = cluster.spawn(net, "agent", "side", 100 + i, size)?;
             let app = SocketAddr::from((process.ip, APP));
             let (id, rack) = (format!("i-{i}f3a91c2"), format!("r1-{}", i / 3));
-            let worker = Worker::start(&id, app, process.control_plane(), SERVICE, &rack, record);
+            let worker = Worker::start(
+                &id,
+                app,
+                process.control_plane(),
+                SERVICE,
+                &rack,
+                size.clock_rate,
+                record,
+            );
             cluster.agents.push(process);
             cluster.workers.push(worker);
         }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -25,6 +25,9 @@
 /// Overlaps below this are left to the times at which the stand-ins note an end.
 const LEAST_OVERLAP_MS: u64 = 20;
 
+/// The slowest clock that the pages allow: 2% slow.
+const SLOW_CLOCK: f64 = 0.98;
+
 /// Whether the rule was broken.
 type Broken = bool;
 
@@ -40,6 +43,7 @@
         "odd-heartbeat" => odd_heartbeat(trouble, &record),
         "late-start" => late_start(trouble, &record),
         "lost-cancel" => lost_cancel(trouble, &record),
+        "slow-clock" => slow_clock(trouble, &record),
         "upper-id" => upper_id(trouble, &record),
         other => Err(io::Error::other(format!("no case is named {other}"))),
     };
@@ -102,6 +106,7 @@
         controls: 3,
         entries: 2,
         agents: 3,
+        clock_rate: 1.0,
     };
     let cluster = Cluster::start(size, record)?;
     let job = "5c0e7a21d94b36f8";
@@ -159,6 +164,7 @@
         controls: 3,
         entries: 2,
         agents: 7,
+        clock_rate: 1.0,
     };
     let cluster = Cluster::start(size, record)?;
     // The workers have run for a while, so that the clocks of their next lives are behind.
@@ -218,12 +224,51 @@
     Ok(check_twice(job, record))
 }
 
+/// A worker with a slow clock, idle for a while, is cut off right after it has begun a task.
+fn slow_clock(trouble: bool, record: &Record) -> io::Result<Broken> {
+    let size = Size {
+        controls: 3,
+        entries: 2,
+        agents: 10,
+        clock_rate: SLOW_CLOCK,
+    };
+    let cluster = Cluster::start(size, record)?;
+    record.line("no work for 25 s");
+    pause(25_000);
+    let job = "5c0e7a21d94b36f8";
+    if trouble {
+        for worker in &cluster.workers {
+            worker.cut_at_start_of(job);
+        }
+    }
+    let entry = cluster.entries[0].frontend();
+    let submitted = submit(entry, job, &wide(1, 3000), Duration::from_secs(10), record);
+    let until = Instant::now() + Duration::from_secs(2);
+    while trouble && !cluster.workers.iter().any(Worker::is_cut) && Instant::now() < until {
+        pause(1);
+    }
+    for worker in cluster.workers.iter().filter(|worker| !worker.is_cut()) {
+        worker.heal();
+    }
+    pause(3000);
+    for worker in &cluster.workers {
+        worker.heal();
+    }
+    let answer = submitted.answer(Duration::from_secs(12));
+    if answer.0 != 200 {
+        record.line("the job was not answered with success");
+    }
+    pause(500);
+    Ok(check_twice(job, record))
+}
+
 /// A cancel reaches an entry while it is frozen, or just after.
 fn lost_cancel(trouble: bool, record: &Record) -> io::Result<Broken> {
     let size = Size {
         controls: 3,
         entries: 3,
         agents: 7,
+        clock_rate: 1.0,
     };
     let cluster = Cluster::start(size, record)?;
     let job = "5c0e7a21d94b36f8";
@@ -280,6 +325,7 @@
         controls: 3,
         entries: 1,
         agents: 3,
+        clock_rate: 1.0,
     };
     let cluster = Cluster::start(size, record)?;
     let first = "5c0e7a21d94b36f8";
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::BufReader;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -48,6 +48,8 @@
     number: u64,
     born: u64,
     began: Instant,
+    /// Speed of its steady clock; 0.98 is 2% slow.
+    clock_rate: f64,
     running: Vec<Run>,
     ended: Vec<End>,
     last_end: u64,
@@ -61,12 +63,13 @@
 }
 
 impl Life {
-    fn new(number: u64) -> Self {
+    fn new(number: u64, clock_rate: f64) -> Self {
         Self {
             up: true,
             number,
             born: unix_ms(),
             began: Instant::now(),
+            clock_rate,
             running: Vec::new(),
             ended: Vec::new(),
             last_end: 0,
@@ -80,7 +83,7 @@
 
     /// Returns the steady clock of this incarnation in milliseconds.
     fn clock(&self) -> u64 {
-        self.began.elapsed().as_millis() as u64
+        (self.began.elapsed().as_secs_f64() * 1000.0 * self.clock_rate) as u64
     }
 
     fn extend_lease(&mut self, deadline_ms: u64) {
@@ -106,6 +109,10 @@
     pub agent: SocketAddr,
     life: Arc<(Mutex<Life>, Condvar)>,
     late: Arc<Mutex<Option<LateOrder>>>,
+    /// Whether the worker is cut off: what is sent to it or by it is lost.
+    cut: Arc<AtomicBool>,
+    /// A job whose first start cuts the worker off once it has been carried out.
+    cut_at: Arc<Mutex<Option<String>>>,
     /// Number of calls received in all lives.
     orders: Arc<AtomicU64>,
     /// When the held order arrived, if one did.
@@ -113,6 +120,7 @@
     record: Record,
     service: String,
     rack: String,
+    clock_rate: f64,
 }
 
 fn unix_ms() -> u64 {
@@ -129,19 +137,23 @@
         agent: SocketAddr,
         service: &str,
         rack: &str,
+        clock_rate: f64,
         record: &Record,
     ) -> Self {
         let worker = Self {
             id: id.into(),
             app,
             agent,
-            life: Arc::new((Mutex::new(Life::new(1)), Condvar::new())),
+            life: Arc::new((Mutex::new(Life::new(1, clock_rate)), Condvar::new())),
             late: Arc::default(),
+            cut: Arc::default(),
+            cut_at: Arc::default(),
             orders: Arc::default(),
             held: Arc::default(),
             record: record.clone(),
             service: service.into(),
             rack: rack.into(),
+            clock_rate,
         };
         worker.begin_life(1);
         worker
@@ -184,7 +196,7 @@
         let number = {
             let mut life = self.life.0.lock().unwrap();
             let number = life.number + 1;
-            *life = Life::new(number);
+            *life = Life::new(number, self.clock_rate);
             self.record.line(format!(
                 "{} is up again under its id, born {}",
                 self.id, life.born
@@ -199,6 +211,25 @@
         *self.late.lock().unwrap() = Some(order);
     }
 
+    /// Cuts the worker off as soon as it has carried out a start of the job.
+    pub fn cut_at_start_of(&self, job: &str) {
+        *self.cut_at.lock().unwrap() = Some(job.into());
+    }
+
+    /// Returns whether the worker is cut off.
+    pub fn is_cut(&self) -> bool {
+        self.cut.load(Ordering::SeqCst)
+    }
+
+    /// Ends the cut, or the intent of one.
+    pub fn heal(&self) {
+        *self.cut_at.lock().unwrap() = None;
+        if self.cut.swap(false, Ordering::SeqCst) {
+            self.record
+                .line(format!("{} is no longer cut off", self.id));
+        }
+    }
+
     /// Holds no further order back.
     pub fn release_orders(&self) {
         *self.late.lock().unwrap() = None;
@@ -250,9 +281,15 @@
             if !self.is_up(number) {
                 return;
             }
+            if self.is_cut() {
+                continue;
+            }
             let Some((status, body)) = self.handle(&request) else {
                 continue;
             };
+            if self.is_cut() {
+                continue;
+            }
             if !self.is_up(number) || http::respond(&mut stream, status, &body).is_err() {
                 return;
             }
@@ -277,7 +314,9 @@
                 if self.holds_back(&body) {
                     return None;
                 }
-                Some(self.start_run(&body))
+                let answer = self.start_run(&body);
+                self.cut_after(&body);
+                Some(answer)
             }
             "/-/run-stop" => Some(self.stop_run(&body)),
             "/-/hold" => Some(self.list(&body)),
@@ -312,6 +351,24 @@
         true
     }
 
+    /// Cuts the worker off if this start is the one that it waits for.
+    fn cut_after(&self, body: &Json) {
+        let task = body.text("task").unwrap_or_default();
+        let mut cut_at = self.cut_at.lock().unwrap();
+        if cut_at
+            .take_if(|job| task.starts_with(job.as_str()))
+            .is_some()
+        {
+            let clock = self.life.0.lock().unwrap().clock();
+            self.record.line(format!(
+                "{} is cut off and runs on, at its clock {clock}; the start had deadlineMs {}",
+                self.id,
+                body.number("deadlineMs").unwrap_or(0)
+            ));
+            self.cut.store(true, Ordering::SeqCst);
+        }
+    }
+
     fn refused(clock: u64, reason: &str) -> (u16, String) {
         (
             409,
@@ -479,6 +536,10 @@
     fn beat(&self, number: u64) {
         let mut seq = 0;
         while self.is_up(number) {
+            if self.is_cut() {
+                thread::sleep(Duration::from_millis(50));
+                continue;
+            }
             seq += 1;
             let (clock, born) = {
                 let life = self.life.0.lock().unwrap();
