--- a/review/standins/src/cluster.rs
+++ b/review/standins/src/cluster.rs
@@ -40,8 +40,8 @@
 impl Process {
     /// Sends a signal by name to this process alone.
     pub fn signal(&self, signal: &str) {
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-s", signal, &pid]).status();
+        let command = format!("kill -s {signal} {}", self.child.id());
+        let sent = Command::new("sh").args(["-c", &command]).status();
         assert!(
             sent.is_ok_and(|status| status.success()),
             "signal {signal} is sent"
