Logs tell what the end of a run was concluded from

Runs now carry the evidence of their end to the log lines and metrics of both the agent and the entry, with the time since the lease was last extended. `worker gone` names the message that the end of a worker was concluded from. An entry logs that it stops waiting for a lost entry. No decision changes.

--- a/crates/agent/src/pooled/notes.rs
+++ b/crates/agent/src/pooled/notes.rs
@@ -5,6 +5,7 @@
 
 use prometheus::{Histogram, IntCounterVec};
 use rw_core::pool::driver::{Driver, Note};
+use rw_core::pool::job::RunEnd;
 use rw_host::metrics;
 use rw_host::net::Net;
 
@@ -34,10 +35,22 @@
             log::info!(run:% = run, entry:% = entry, free_cpu = free.cpu_milli,
                 waited_ms = ms(*waited); "starting run");
         }
-        Note::Ended { run, end, ran } => {
+        Note::Ended {
+            run,
+            end,
+            evidence,
+            ran,
+            since_renewal,
+        } => {
             RUN_TIME.observe(ran.as_secs_f64());
             RUNS.with_label_values(&[&format!("{end:?}")]).inc();
-            log::info!(run:% = run, end:? = end, ran_ms = ms(*ran); "run ended");
+            if *end == RunEnd::Gone {
+                metrics::RUNS_GONE
+                    .with_label_values(&[evidence.as_str()])
+                    .inc();
+            }
+            log::info!(run:% = run, end:? = end, evidence = evidence.as_str(), ran_ms = ms(*ran),
+                since_renewal_ms = ms(*since_renewal); "run ended");
         }
         Note::Refused { run, reason } => {
             RUNS.with_label_values(&[&format!("{reason:?}")]).inc();
@@ -48,12 +61,18 @@
             log::warn!(run:% = run, waited_ms = ms(*waited);
                 "start call not answered; stopping the run");
         }
-        Note::WorkerFound {
+        Note::WorkerFound { id, start_time_ms } => {
+            log::info!(worker:% = id, born = start_time_ms; "worker found");
+        }
+        Note::WorkerGone {
             id,
             start_time_ms,
-            lost,
+            why,
+            runs,
+            since_renewal,
         } => {
-            log::info!(worker:% = id, born = start_time_ms, runs_lost = lost; "worker found");
+            log::warn!(worker:% = id, born = start_time_ms, why = why, runs = runs,
+                since_renewal_ms = ms(*since_renewal); "worker gone");
         }
         Note::WorkerState { id, state } => {
             log::info!(worker:% = id, state:? = state; "worker state changed");
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -20,7 +20,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::Uptime;
-use super::job::{Resources, RunEnd, RunId};
+use super::job::{EndEvidence, Resources, RunEnd, RunId};
 use super::msg::{CapacityReport, NotStarted, ToEntry, WorkerInfo};
 use crate::ids::{Name, NodeRef};
 
@@ -205,6 +205,16 @@
     listed: bool,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct UndeliveredEnd {
+    end: RunEnd,
+    evidence: EndEvidence,
+    /// Run time in milliseconds.
+    ran_ms: u32,
+    /// When the end became known.
+    at: Uptime,
+}
+
 #[derive(Clone, Debug)]
 struct PendingCall {
     call: Call,
@@ -249,8 +259,8 @@
     next_report: Option<Uptime>,
     /// Index of the entry that is first in the next round of reports.
     next_entry: usize,
-    /// Ends that were not delivered, with run time in milliseconds and time of arrival.
-    undelivered_ends: IndexMap<RunId, (RunEnd, u32, Uptime)>,
+    /// Ends that were not delivered.
+    undelivered_ends: IndexMap<RunId, UndeliveredEnd>,
     /// Moving average of the natural logarithm of run time over estimate; above 0 is slow.
     pace: f32,
     pace_updated: Uptime,
@@ -328,7 +338,7 @@
         self.start_queued(now, out);
         self.request_list(now, out);
         self.undelivered_ends
-            .retain(|_, (_, _, at)| now < *at + END_RETENTION);
+            .retain(|_, end| now < end.at + END_RETENTION);
         self.report(now, out);
     }
 
@@ -390,20 +400,43 @@
     }
 
     /// Removes a run and reports its end to its owner, or keeps the end if the owner is not linked.
-    fn end(&mut self, now: Uptime, run: RunId, end: RunEnd, out: &mut Vec<Action>) {
+    fn end(
+        &mut self,
+        now: Uptime,
+        run: RunId,
+        (end, evidence): (RunEnd, EndEvidence),
+        out: &mut Vec<Action>,
+    ) {
         let Some(removed) = self.runs.swap_remove(&run) else {
             return;
         };
         let ran = now.saturating_sub(removed.started);
         self.learn(now, &removed, end, ran);
-        out.push(Action::Note(Note::Ended { run, end, ran }));
+        out.push(Action::Note(Note::Ended {
+            run,
+            end,
+            evidence,
+            ran,
+            since_renewal: now.saturating_sub(self.last_renewal),
+        }));
         let ran_ms = ran.as_millis() as u32;
-        let Some(owner) = removed.owner else {
-            self.undelivered_ends.insert(run, (end, ran_ms, now));
-            return;
+        let msg = ToEntry::Ended {
+            run,
+            end,
+            evidence,
+            ran_ms,
         };
-        if !self.send(&owner, ToEntry::Ended { run, end, ran_ms }, out) {
-            self.undelivered_ends.insert(run, (end, ran_ms, now));
+        let delivered = removed
+            .owner
+            .is_some_and(|owner| self.send(&owner, msg, out));
+        if !delivered {
+            let undelivered = UndeliveredEnd {
+                end,
+                evidence,
+                ran_ms,
+                at: now,
+            };
+            self.undelivered_ends.insert(run, undelivered);
         }
     }
 
--- a/crates/core/src/pool/driver/answers.rs
+++ b/crates/core/src/pool/driver/answers.rs
@@ -1,6 +1,7 @@
 //! Calls to the worker: their time-outs, their answers, and what it means if there is none.
 
 use super::super::Uptime;
+use super::super::job::EndEvidence;
 use super::lists::ListTime;
 use super::{
     Action, Call, Driver, Duration, FLAKY_UNRESPONSIVE_TIME, LOSSY_PERIOD, MAX_CALL_TIMEOUT,
@@ -83,7 +84,8 @@
             out.push(Action::Note(Note::WorkerRecovered));
         }
         if reply == Reply::OtherWorker {
-            self.worker_gone(now, out);
+            let why = "another incarnation answered a call";
+            self.worker_gone(now, EndEvidence::WorkerReplaced, why, out);
             return;
         }
         if !matches!(pending.call, Call::List { .. }) {
--- a/crates/core/src/pool/driver/lists.rs
+++ b/crates/core/src/pool/driver/lists.rs
@@ -1,12 +1,12 @@
 //! List calls: the running and ended runs at the worker, and the renewal of its lease.
 
 use super::super::Uptime;
-use super::super::job::{RunEnd, RunId};
+use super::super::job::{EndEvidence, RunEnd, RunId};
 use super::super::msg::{NotStarted, ToEntry};
 use super::super::{LEASE_EXPIRY_MARGIN, WORKER_LEASE};
 use super::{
     Action, Call, Driver, Duration, EndedRow, LIST_WAIT, LOSSY_LIST_WAIT, LOSSY_PERIOD,
-    ORPHAN_GRACE, Run, RunningRow, State, UNRESPONSIVE_LIST_INTERVAL,
+    ORPHAN_GRACE, Run, RunningRow, State, UNRESPONSIVE_LIST_INTERVAL, UndeliveredEnd,
 };
 
 /// A run is behind when its run time exceeds its estimate times this factor plus [`BEHIND_MARGIN`].
@@ -116,7 +116,8 @@
         if start_time_ms.is_some_and(|start_time_ms| {
             start_time_ms != worker.start_time_ms && worker.start_time_ms != 0
         }) {
-            self.worker_gone(now, out);
+            let why = "a list states another start time";
+            self.worker_gone(now, EndEvidence::WorkerReplaced, why, out);
             return;
         }
         worker.listed = true;
@@ -138,11 +139,16 @@
     /// kept, since an entry may still claim them.
     fn on_ended(&mut self, now: Uptime, row: &EndedRow, out: &mut Vec<Action>) {
         if self.runs.contains_key(&row.run) {
-            self.end(now, row.run, row.end, out);
+            self.end(now, row.run, (row.end, EndEvidence::Listed), out);
         } else if now < self.started_at + super::END_RETENTION {
             self.undelivered_ends
                 .entry(row.run)
-                .or_insert((row.end, 0, now));
+                .or_insert(UndeliveredEnd {
+                    end: row.end,
+                    evidence: EndEvidence::Listed,
+                    ran_ms: 0,
+                    at: now,
+                });
         }
     }
 
@@ -243,7 +249,7 @@
             {
                 self.refuse(id, NotStarted::Unanswered, out);
             } else {
-                self.end(now, id, RunEnd::Gone, out);
+                self.end(now, id, (RunEnd::Gone, EndEvidence::NotListed), out);
             }
         }
     }
@@ -255,7 +261,7 @@
         }
         let runs: Vec<RunId> = self.runs.keys().copied().collect();
         for run in runs {
-            self.end(now, run, RunEnd::Gone, out);
+            self.end(now, run, (RunEnd::Gone, EndEvidence::LeaseExpired), out);
         }
     }
 
--- a/crates/core/src/pool/driver/note.rs
+++ b/crates/core/src/pool/driver/note.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::super::job::{Resources, RunEnd, RunId};
+use super::super::job::{EndEvidence, Resources, RunEnd, RunId};
 use super::super::msg::NotStarted;
 use super::HeartbeatState;
 use crate::ids::Name;
@@ -27,8 +27,12 @@
         run: RunId,
         /// How it ended.
         end: RunEnd,
+        /// What the end was concluded from.
+        evidence: EndEvidence,
         /// Its run time as the agent saw it.
         ran: Duration,
+        /// Time since the last call that extended the worker's lease was sent.
+        since_renewal: Duration,
     },
     /// A run was not started, and the worker cannot start it any more.
     Refused {
@@ -57,8 +61,19 @@
         id: Name,
         /// Its start time in Unix milliseconds as stated in its heartbeat; 0 if not stated.
         start_time_ms: u64,
-        /// Number of runs of the previous incarnation that are lost.
-        lost: usize,
+    },
+    /// The worker counts as ended, and its runs with it.
+    WorkerGone {
+        /// Its id.
+        id: Name,
+        /// Its start time in Unix milliseconds; 0 if not stated.
+        start_time_ms: u64,
+        /// The message that it was concluded from.
+        why: &'static str,
+        /// Number of its runs.
+        runs: usize,
+        /// Time since the last call that extended its lease was sent.
+        since_renewal: Duration,
     },
     /// The state in the worker's heartbeats changed.
     WorkerState {
--- a/crates/core/src/pool/driver/owners.rs
+++ b/crates/core/src/pool/driver/owners.rs
@@ -1,7 +1,7 @@
 //! The entries that own runs: their links, their timeouts and the reports sent to them.
 
 use super::super::Uptime;
-use super::super::job::{Resources, RunId};
+use super::super::job::{EndEvidence, Resources, RunEnd, RunId};
 use super::super::msg::{CapacityReport, ToAgent, ToEntry};
 use super::super::{PING_EVERY, SILENCE_TIMEOUT};
 use super::{
@@ -120,13 +120,19 @@
     }
 
     /// Reports the end of a run that is no longer known: as recorded, or else
-    /// [`super::RunEnd::Gone`].
+    /// [`RunEnd::Gone`].
     fn report_end(&mut self, run: RunId, owner: &NodeRef, out: &mut Vec<Action>) {
-        let (end, ran_ms) = match self.undelivered_ends.swap_remove(&run) {
-            Some((end, ran_ms, _)) => (end, ran_ms),
-            None => (super::RunEnd::Gone, 0),
+        let (end, evidence, ran_ms) = match self.undelivered_ends.swap_remove(&run) {
+            Some(known) => (known.end, known.evidence, known.ran_ms),
+            None => (RunEnd::Gone, EndEvidence::Unknown, 0),
         };
-        self.send(owner, ToEntry::Ended { run, end, ran_ms }, out);
+        let msg = ToEntry::Ended {
+            run,
+            end,
+            evidence,
+            ran_ms,
+        };
+        self.send(owner, msg, out);
     }
 
     /// Handles the list of runs that an entry sends on a new link: assigns these runs to the entry
--- a/crates/core/src/pool/driver/starts.rs
+++ b/crates/core/src/pool/driver/starts.rs
@@ -1,7 +1,7 @@
 //! Queueing, starting, refusing and stopping of runs.
 
 use super::super::Uptime;
-use super::super::job::{RunEnd, RunId};
+use super::super::job::{EndEvidence, RunEnd, RunId};
 use super::super::msg::{NotStarted, Start};
 use super::{
     ASSURED_LEASE, Action, Call, Driver, Duration, HeartbeatState, MAX_QUEUED, Note, Run,
@@ -210,7 +210,7 @@
         match run.state {
             State::Queued => {
                 // Not a refusal for lack of room: the entry would take the worker for full.
-                self.end(now, id, RunEnd::Gone, out);
+                self.end(now, id, (RunEnd::Gone, EndEvidence::Withdrawn), out);
                 return;
             }
             State::Running | State::Starting => run.state = State::Stopping,
--- a/crates/core/src/pool/driver/worker.rs
+++ b/crates/core/src/pool/driver/worker.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::super::Uptime;
-use super::super::job::{Resources, RunEnd, RunId};
+use super::super::job::{EndEvidence, Resources, RunEnd, RunId};
 use super::super::msg::{NotStarted, WorkerInfo};
 use super::{Action, Driver, Name, Note, Worker};
 
@@ -199,15 +199,11 @@
 
     /// Replaces the worker by a new incarnation. The runs of the previous one are lost.
     fn replace_worker(&mut self, now: Uptime, heartbeat: Heartbeat, out: &mut Vec<Action>) {
-        let replaced = self.worker.is_some();
-        let lost = if replaced { self.runs.len() } else { 0 };
-        if replaced {
-            self.worker_gone(now, out);
-        }
+        let why = "another incarnation sent a heartbeat";
+        self.worker_gone(now, EndEvidence::WorkerReplaced, why, out);
         out.push(Action::Note(Note::WorkerFound {
             id: heartbeat.id.clone(),
             start_time_ms: heartbeat.start_time_ms,
-            lost,
         }));
         self.worker = Some(Worker {
             id: heartbeat.id,
@@ -237,22 +233,38 @@
     /// id.
     pub fn on_leave(&mut self, now: Uptime, id: &str, out: &mut Vec<Action>) {
         if self.worker.as_ref().is_some_and(|worker| &*worker.id == id) {
-            self.worker_gone(now, out);
+            let why = "it gave notice that it shuts down";
+            self.worker_gone(now, EndEvidence::WorkerLeft, why, out);
             self.report(now, out);
         }
     }
 
     /// Handles the end of the worker's incarnation: drops all calls, refuses queued runs and ends
-    /// the others.
-    pub(super) fn worker_gone(&mut self, now: Uptime, out: &mut Vec<Action>) {
-        self.worker = None;
+    /// the others. `why` is for the log.
+    pub(super) fn worker_gone(
+        &mut self,
+        now: Uptime,
+        evidence: EndEvidence,
+        why: &'static str,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(worker) = self.worker.take() else {
+            return;
+        };
+        out.push(Action::Note(Note::WorkerGone {
+            id: worker.id,
+            start_time_ms: worker.start_time_ms,
+            why,
+            runs: self.runs.len(),
+            since_renewal: now.saturating_sub(self.last_renewal),
+        }));
         for (id, _) in std::mem::take(&mut self.calls) {
             out.push(Action::DropCall(id));
         }
         self.refuse_queued(NotStarted::NoWorker, out);
         let runs: Vec<RunId> = self.runs.keys().copied().collect();
         for run in runs {
-            self.end(now, run, RunEnd::Gone, out);
+            self.end(now, run, (RunEnd::Gone, evidence), out);
         }
     }
 }
--- a/crates/core/src/pool/job.rs
+++ b/crates/core/src/pool/job.rs
@@ -167,3 +167,40 @@
     /// count as a failed run.
     Gone,
 }
+
+/// What the end of a run was concluded from.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum EndEvidence {
+    /// The worker listed the end.
+    Listed,
+    /// The run is missing from a list of the worker.
+    NotListed,
+    /// Another incarnation of the worker took its place.
+    WorkerReplaced,
+    /// The worker gave notice that it shuts down.
+    WorkerLeft,
+    /// The worker did not answer until its lease had expired.
+    LeaseExpired,
+    /// The run was withdrawn while it was queued at the agent.
+    Withdrawn,
+    /// The agent does not know the run.
+    Unknown,
+    /// The agent's link was lost for so long that its runs have ended.
+    AgentLost,
+}
+
+impl EndEvidence {
+    /// Returns the name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Listed => "listed",
+            Self::NotListed => "not-listed",
+            Self::WorkerReplaced => "worker-replaced",
+            Self::WorkerLeft => "worker-left",
+            Self::LeaseExpired => "lease-expired",
+            Self::Withdrawn => "withdrawn",
+            Self::Unknown => "unknown-to-agent",
+            Self::AgentLost => "agent-lost",
+        }
+    }
+}
--- a/crates/core/src/pool/msg.rs
+++ b/crates/core/src/pool/msg.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-use super::job::{JobId, Resources, RunEnd, RunId};
+use super::job::{EndEvidence, JobId, Resources, RunEnd, RunId};
 use crate::ids::Name;
 
 /// A message about pooled jobs.
@@ -130,6 +130,8 @@
         run: RunId,
         /// How it ended.
         end: RunEnd,
+        /// What the end was concluded from.
+        evidence: EndEvidence,
         /// Its run time in milliseconds.
         ran_ms: u32,
     },
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -414,6 +414,12 @@
             .map(|(id, _)| *id)
             .collect();
         for id in released {
+            if let Some(entry) = self.owners.owner(id) {
+                out.push(Action::Note(Note::OwnerLost {
+                    job: id,
+                    entry: entry.clone(),
+                }));
+            }
             self.release(now, id, out);
         }
     }
--- a/crates/core/src/pool/scheduler/note.rs
+++ b/crates/core/src/pool/scheduler/note.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::super::fleet::Choice;
-use super::super::job::{JobId, RunEnd, RunId};
+use super::super::job::{EndEvidence, JobId, RunEnd, RunId};
 use super::super::msg::{NotStarted, Peer, ToAgent};
 use crate::ids::Name;
 
@@ -99,19 +99,36 @@
         /// The runs.
         runs: Vec<Placed>,
     },
-    /// A run ended or was not started.
+    /// A job no longer waits for another entry, whose link was lost for so long that its runs have
+    /// ended.
+    OwnerLost {
+        /// The job.
+        job: JobId,
+        /// The other entry.
+        entry: Name,
+    },
+    /// A run ended.
     RunEnded {
         /// The run.
         run: RunId,
         /// The worker.
         worker: Name,
-        /// How it ended; `None` if it was refused.
-        end: Option<RunEnd>,
-        /// Why it was not started; `None` if it ended.
-        refused: Option<NotStarted>,
-        /// Its run time in milliseconds; 0 if it was refused or is unknown.
+        /// How it ended.
+        end: RunEnd,
+        /// What the end was concluded from.
+        evidence: EndEvidence,
+        /// Its run time in milliseconds; 0 if unknown.
         ran_ms: u32,
     },
+    /// An agent refused a run.
+    RunRefused {
+        /// The run.
+        run: RunId,
+        /// The worker.
+        worker: Name,
+        /// Why it was not started.
+        reason: NotStarted,
+    },
     /// An agent was told to stop a run so that its task starts again on another worker.
     Moved {
         /// The run.
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -4,7 +4,7 @@
 
 use super::super::Uptime;
 use super::super::fleet::Need;
-use super::super::job::{RunEnd, RunId};
+use super::super::job::{EndEvidence, RunEnd, RunId};
 use super::super::msg::{NotStarted, ToAgent, ToEntry};
 use super::super::owners::MAX_RUN_TIME_AFTER_LOSS;
 use super::super::seconds;
@@ -57,12 +57,21 @@
                     }));
                 }
             }
-            ToEntry::Ended { run, end, ran_ms } => {
-                Self::push_run_ended(run, name, (Some(end), None, ran_ms), out);
+            ToEntry::Ended {
+                run,
+                end,
+                evidence,
+                ran_ms,
+            } => {
+                Self::push_run_ended(run, name, (end, evidence), ran_ms, out);
                 self.on_run_end(now, name, run, end, out);
             }
             ToEntry::Refused { run, reason } => {
-                Self::push_run_ended(run, name, (None, Some(reason), 0), out);
+                out.push(Action::Note(Note::RunRefused {
+                    run,
+                    worker: name.clone(),
+                    reason,
+                }));
                 self.on_refused(now, name, run, reason, out);
             }
             ToEntry::Behind {
@@ -78,15 +87,15 @@
     fn push_run_ended(
         run: RunId,
         worker: &Name,
-        outcome: (Option<RunEnd>, Option<NotStarted>, u32),
+        (end, evidence): (RunEnd, EndEvidence),
+        ran_ms: u32,
         out: &mut Vec<Action>,
     ) {
-        let (end, refused, ran_ms) = outcome;
         out.push(Action::Note(Note::RunEnded {
             run,
             worker: worker.clone(),
             end,
-            refused,
+            evidence,
             ran_ms,
         }));
     }
@@ -201,7 +210,8 @@
             .collect();
         for name in lost {
             for run in self.runs_on(&name) {
-                Self::push_run_ended(run, &name, (Some(RunEnd::Gone), None, 0), out);
+                let end = (RunEnd::Gone, EndEvidence::AgentLost);
+                Self::push_run_ended(run, &name, end, 0, out);
                 self.on_run_end(now, &name, run, RunEnd::Gone, out);
             }
         }
--- a/crates/core/tests/pool_scheduler.rs
+++ b/crates/core/tests/pool_scheduler.rs
@@ -6,7 +6,7 @@
 use rw_core::ids::Name;
 use rw_core::pool::Uptime;
 use rw_core::pool::catalog::Queue;
-use rw_core::pool::job::{Job, JobId, Resources, RunEnd, RunId, Step};
+use rw_core::pool::job::{EndEvidence, Job, JobId, Resources, RunEnd, RunId, Step};
 use rw_core::pool::msg::{CapacityReport, NotStarted, Peer, Start, ToAgent, ToEntry, WorkerInfo};
 use rw_core::pool::scheduler::{Action, Answer, Note, Scheduler};
 
@@ -162,6 +162,7 @@
     ToEntry::Ended {
         run,
         end,
+        evidence: EndEvidence::Listed,
         ran_ms: 100,
     }
 }
@@ -630,6 +631,7 @@
             ToEntry::Ended {
                 run,
                 end,
+                evidence: EndEvidence::Listed,
                 ran_ms: 3,
             },
         );
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use prometheus::{HistogramVec, IntCounter, IntCounterVec};
-use rw_core::pool::job::RunEnd;
+use rw_core::ids::Name;
+use rw_core::pool::job::{EndEvidence, RunEnd, RunId};
 use rw_core::pool::scheduler::{Answer, Note, Placed, Scheduler};
 use rw_host::metrics;
 use rw_host::net::Net;
@@ -88,21 +89,19 @@
             run,
             worker,
             end,
-            refused,
+            evidence,
             ran_ms,
         } => {
-            if *end == Some(RunEnd::Done) {
-                // Not logged here: the agent logs each end, and a completed job has all tasks done.
-                RUNS.with_label_values(&["Done"]).inc();
-                return;
-            }
-            let end = match (end, refused) {
-                (Some(end), _) => format!("{end:?}"),
-                (None, Some(why)) => format!("{why:?}"),
-                (None, None) => "unknown".into(),
-            };
-            RUNS.with_label_values(&[&end]).inc();
-            log::info!(run:% = run, worker:% = worker, end = end, ran_ms = ran_ms; "run did not complete");
+            record_run_end(*run, worker, (*end, *evidence), *ran_ms);
+        }
+        Note::RunRefused {
+            run,
+            worker,
+            reason,
+        } => {
+            let kind = format!("{reason:?}");
+            RUNS.with_label_values(&[&kind]).inc();
+            log::info!(run:% = run, worker:% = worker, end = kind, ran_ms = 0; "run did not complete");
         }
         Note::Moved {
             run,
@@ -138,6 +137,9 @@
         Note::Yielded { job, to } => {
             log::info!(job:% = job, entry:% = to; "job yielded to another entry");
         }
+        Note::OwnerLost { job, entry } => {
+            log::info!(job:% = job, entry:% = entry; "job no longer waits for a lost entry");
+        }
         Note::Overload { job, wait } => {
             log::info!(job:% = job, wait_ms = ms(*wait); "job refused because of overload");
         }
@@ -150,6 +152,22 @@
     }
 }
 
+fn record_run_end(run: RunId, worker: &Name, (end, evidence): (RunEnd, EndEvidence), ran_ms: u32) {
+    let kind = format!("{end:?}");
+    RUNS.with_label_values(&[&kind]).inc();
+    if end == RunEnd::Done {
+        // Not logged here: the agent logs each end, and a completed job has all tasks done.
+        return;
+    }
+    if end == RunEnd::Gone {
+        metrics::RUNS_GONE
+            .with_label_values(&[evidence.as_str()])
+            .inc();
+    }
+    log::info!(run:% = run, worker:% = worker, end = kind, evidence = evidence.as_str(),
+        ran_ms = ran_ms; "run did not complete");
+}
+
 /// Formats each run as `step.index#attempt@worker`, with the free CPU assumed for the worker in
 /// thousandths of a core, and in milliseconds the age of the report behind it, the expected run time
 /// and the time waited.
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -37,6 +37,15 @@
 pub static HELD: LazyLock<IntGaugeVec> =
     LazyLock::new(|| gauges("rw_held", "Objects held in memory", &["what"]));
 
+/// Runs that ended without a result of the worker, by what the end was concluded from.
+pub static RUNS_GONE: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counters(
+        "rw_pooled_runs_gone_total",
+        "Runs that ended without a result, by evidence",
+        &["evidence"],
+    )
+});
+
 /// Counts a message sent on a link under its kind.
 pub fn count_sent(msg: &Msg) {
     SENT.with_label_values(&[msg.kind()]).inc();
