A worker is replaced only by an incarnation that answers, not by a heartbeat

Cause: an agent took a heartbeat of another identity, or a notice of departure, for the end of its worker and reported all runs there as ended, while it had held their lease until that moment. The entry started the tasks again on other workers; the first runs went on until they were done or their lease ended. Such a message may be of another writer, or late.

Now hearsay ends no run. Another identity is asked by a call that names it (`Call::Identify`); only its answer, which proves that it serves the worker's address, ends the runs of the one before. A denial or another start time drops it. A worker that gives notice gets no more starts; its runs end by its lists or with its lease. An identity that never answered a list and is denied ends no run that an entry claims at a restarted agent.

The test of a new incarnation in pool_driver expected the end at the heartbeat alone; it now expects none then, and the end at the answer.

--- a/crates/agent/src/pooled.rs
+++ b/crates/agent/src/pooled.rs
@@ -298,6 +298,11 @@
                 let wall_ms = clock::wall().0;
                 match self.driver.on_heartbeat_at(now, wall_ms, heartbeat, out) {
                     HeartbeatOutcome::Applied => self.protocol.acknowledge(),
+                    HeartbeatOutcome::Unconfirmed => {
+                        log::info!(worker = shortened(&id), number = number, born = start_time_ms;
+                            "announcement of another worker; asking it for its identity");
+                        self.protocol.acknowledge()
+                    }
                     HeartbeatOutcome::Outdated => {
                         log::info!(worker:% = id, number = number, born = start_time_ms;
                             "outdated announcement ignored");
--- a/crates/agent/src/pooled/notes.rs
+++ b/crates/agent/src/pooled/notes.rs
@@ -9,6 +9,8 @@
 use rw_host::metrics;
 use rw_host::net::Net;
 
+use super::shortened;
+
 static RUN_TIME: LazyLock<Histogram> =
     LazyLock::new(|| metrics::histogram("rw_pooled_run_seconds", "Run time of runs on the worker"));
 static RUNS: LazyLock<IntCounterVec> = LazyLock::new(|| {
@@ -64,6 +66,10 @@
         Note::WorkerFound { id, start_time_ms } => {
             log::info!(worker:% = id, born = start_time_ms; "worker found");
         }
+        Note::CandidateDenied { id, start_time_ms } => {
+            log::warn!(worker = shortened(id), born = start_time_ms;
+                "announced worker does not serve the worker's address; announcement ignored");
+        }
         Note::WorkerGone {
             id,
             start_time_ms,
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -203,6 +203,16 @@
     last_end_number: u64,
     /// Whether at least one list was received.
     listed: bool,
+    /// Whether it gave notice that it shuts down.
+    is_leaving: bool,
+}
+
+/// Another incarnation that sent a heartbeat and has not answered a call yet.
+#[derive(Debug)]
+struct Candidate {
+    heartbeat: Heartbeat,
+    /// Earliest time of the next call to it.
+    next_call: Uptime,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -239,6 +249,7 @@
     /// Until when the worker counts as one that answers only some calls.
     flaky_until: Option<Uptime>,
     worker: Option<Worker>,
+    candidate: Option<Candidate>,
     /// Pools of the catalogue in force; `None` before the first one.
     pools: Option<IndexSet<Name>>,
     runs: IndexMap<RunId, Run>,
@@ -281,6 +292,7 @@
             last_lost_call: None,
             flaky_until: None,
             worker: None,
+            candidate: None,
             pools: None,
             runs: IndexMap::new(),
             entries: IndexMap::new(),
@@ -336,6 +348,8 @@
         self.stop_orphans(now, out);
         self.retry_stops(now, out);
         self.start_queued(now, out);
+        self.forget_left_worker(now, out);
+        self.identify_candidate(now, out);
         self.request_list(now, out);
         self.undelivered_ends
             .retain(|_, end| now < end.at + END_RETENTION);
--- a/crates/core/src/pool/driver/answers.rs
+++ b/crates/core/src/pool/driver/answers.rs
@@ -1,7 +1,6 @@
 //! Calls to the worker: their time-outs, their answers, and what it means if there is none.
 
 use super::super::Uptime;
-use super::super::job::EndEvidence;
 use super::lists::ListTime;
 use super::{
     Action, Call, Driver, Duration, FLAKY_UNRESPONSIVE_TIME, LOSSY_PERIOD, MAX_CALL_TIMEOUT,
@@ -54,7 +53,9 @@
         let Some(pending) = self.calls.swap_remove(&id) else {
             return;
         };
-        if matches!(reply, Reply::NotSent | Reply::Unknown) {
+        if let Call::Identify { worker } = &pending.call {
+            self.on_identified(now, worker, &reply, clock_ms, out);
+        } else if matches!(reply, Reply::NotSent | Reply::Unknown) {
             self.on_no_answer(now, &pending, reply == Reply::NotSent, out);
         } else {
             self.on_answer(now, pending, reply, clock_ms, out);
@@ -85,7 +86,7 @@
         }
         if reply == Reply::OtherWorker {
             let why = "another incarnation answered a call";
-            self.worker_gone(now, EndEvidence::WorkerReplaced, why, out);
+            self.worker_gone(now, why, out);
             return;
         }
         if !matches!(pending.call, Call::List { .. }) {
@@ -117,7 +118,7 @@
                 self.on_lists(now, requested, start_time_ms, &running, &ended, out);
             }
             (Call::Start { run, .. }, _) => self.on_start_unanswered(now, run, pending.sent, out),
-            (Call::List { .. }, _) => {}
+            (Call::List { .. } | Call::Identify { .. }, _) => {}
         }
     }
 
@@ -169,7 +170,7 @@
                     run.stop_in_flight = false;
                 }
             }
-            Call::List { .. } => {}
+            Call::List { .. } | Call::Identify { .. } => {}
         }
     }
 
@@ -182,7 +183,9 @@
             .collect();
         for id in expired {
             out.push(Action::DropCall(id));
-            if let Some(pending) = self.calls.swap_remove(&id) {
+            if let Some(pending) = self.calls.swap_remove(&id)
+                && !matches!(pending.call, Call::Identify { .. })
+            {
                 self.on_no_answer(now, &pending, false, out);
             }
         }
--- a/crates/core/src/pool/driver/call.rs
+++ b/crates/core/src/pool/driver/call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::super::job::{RunEnd, RunId};
+use crate::ids::Name;
 
 /// A call to the worker.
 #[derive(Clone, Debug, PartialEq)]
@@ -34,6 +35,12 @@
         /// Longest time that the worker may delay its answer until a run ends.
         wait: Duration,
     },
+    /// Asks whether the worker of this identity serves the worker's address. Answered like
+    /// [`Call::List`]; leaves the lease and the records of ended runs as they are.
+    Identify {
+        /// The worker's id.
+        worker: Name,
+    },
 }
 
 /// A running run in the answer to [`Call::List`].
@@ -80,7 +87,7 @@
     Refused(StartRefusal),
     /// The worker accepted the stop and blocks later starts of the run.
     Stopped,
-    /// The answer to [`Call::List`].
+    /// The answer to [`Call::List`] or [`Call::Identify`].
     Lists {
         /// Start time of the worker's incarnation in Unix milliseconds, if stated.
         start_time_ms: Option<u64>,
--- a/crates/core/src/pool/driver/lists.rs
+++ b/crates/core/src/pool/driver/lists.rs
@@ -117,7 +117,7 @@
             start_time_ms != worker.start_time_ms && worker.start_time_ms != 0
         }) {
             let why = "a list states another start time";
-            self.worker_gone(now, EndEvidence::WorkerReplaced, why, out);
+            self.worker_gone(now, why, out);
             return;
         }
         worker.listed = true;
--- a/crates/core/src/pool/driver/note.rs
+++ b/crates/core/src/pool/driver/note.rs
@@ -62,7 +62,7 @@
         /// Its start time in Unix milliseconds as stated in its heartbeat; 0 if not stated.
         start_time_ms: u64,
     },
-    /// The worker counts as ended, and its runs with it.
+    /// The worker is forgotten.
     WorkerGone {
         /// Its id.
         id: Name,
@@ -75,6 +75,13 @@
         /// Time since the last call that extended its lease was sent.
         since_renewal: Duration,
     },
+    /// A heartbeat named an incarnation that does not serve the worker's address.
+    CandidateDenied {
+        /// Its id.
+        id: Name,
+        /// Its start time in Unix milliseconds; 0 if not stated.
+        start_time_ms: u64,
+    },
     /// The state in the worker's heartbeats changed.
     WorkerState {
         /// Its id.
--- a/crates/core/src/pool/driver/worker.rs
+++ b/crates/core/src/pool/driver/worker.rs
@@ -6,7 +6,10 @@
 use super::super::Uptime;
 use super::super::job::{EndEvidence, Resources, RunEnd, RunId};
 use super::super::msg::{NotStarted, WorkerInfo};
-use super::{Action, Driver, Name, Note, Worker};
+use super::{
+    Action, Call, Candidate, Driver, MAX_CALL_TIMEOUT, Name, Note, PendingCall, Reply,
+    UNRESPONSIVE_LIST_INTERVAL, Worker,
+};
 
 /// Maximum length in bytes of a worker's id, pool and labels.
 const MAX_NAME_BYTES: usize = 256;
@@ -53,6 +56,9 @@
 pub enum HeartbeatOutcome {
     /// The heartbeat is the newest of the newest incarnation and was applied.
     Applied,
+    /// The heartbeat names another incarnation, which is asked whether it serves the worker's
+    /// address.
+    Unconfirmed,
     /// The heartbeat is out of date or of an earlier incarnation and was ignored.
     Outdated,
     /// The heartbeat cannot come from a worker of this cluster, for the given reason, and was
@@ -132,7 +138,8 @@
         }
     }
 
-    /// Handles a heartbeat. One of a new incarnation replaces the worker and ends its runs.
+    /// Handles a heartbeat. One of another incarnation replaces the worker only once that
+    /// incarnation has answered a call.
     pub fn on_heartbeat(
         &mut self,
         now: Uptime,
@@ -153,22 +160,99 @@
                     HeartbeatOutcome::Applied
                 }
             }
-            _ => {
-                self.replace_worker(now, heartbeat, out);
+            Some(_) => {
+                self.candidate = Some(Candidate {
+                    heartbeat,
+                    next_call: now,
+                });
+                HeartbeatOutcome::Unconfirmed
+            }
+            None => {
+                self.set_worker(now, heartbeat, out);
                 HeartbeatOutcome::Applied
             }
         };
+        self.identify_candidate(now, out);
         self.request_list(now, out);
         self.report(now, out);
         outcome
     }
 
+    /// Asks the candidate for its identity if this is due. The answer proves which incarnation
+    /// serves the worker's address; a heartbeat proves nothing about the present worker. Without a
+    /// present worker the candidate takes its place.
+    pub(super) fn identify_candidate(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        if self.worker.is_none()
+            && let Some(candidate) = self.candidate.take()
+        {
+            self.set_worker(now, candidate.heartbeat, out);
+        }
+        let in_flight = |pending: &PendingCall| matches!(pending.call, Call::Identify { .. });
+        let Some(candidate) = &mut self.candidate else {
+            return;
+        };
+        if now < candidate.next_call || self.calls.values().any(in_flight) {
+            return;
+        }
+        candidate.next_call = now + UNRESPONSIVE_LIST_INTERVAL;
+        let call = Call::Identify {
+            worker: candidate.heartbeat.id.clone(),
+        };
+        self.call(now, call, MAX_CALL_TIMEOUT, out);
+    }
+
+    /// Handles the answer to [`Call::Identify`]. Without an answer the candidate is asked again.
+    pub(super) fn on_identified(
+        &mut self,
+        now: Uptime,
+        worker: &Name,
+        reply: &Reply,
+        clock_ms: Option<u64>,
+        out: &mut Vec<Action>,
+    ) {
+        let is_other = |candidate: &Candidate| candidate.heartbeat.id != *worker;
+        if self.candidate.as_ref().is_none_or(is_other) {
+            return;
+        }
+        let stated = match reply {
+            Reply::Lists { start_time_ms, .. } => *start_time_ms,
+            Reply::OtherWorker => {
+                self.deny_candidate(out);
+                return;
+            }
+            _ => return,
+        };
+        let Some(candidate) = self.candidate.take() else {
+            return;
+        };
+        let start_time_ms = candidate.heartbeat.start_time_ms;
+        if stated.is_some_and(|stated| stated != start_time_ms) {
+            self.candidate = Some(candidate);
+            self.deny_candidate(out);
+            return;
+        }
+        let mut heartbeat = candidate.heartbeat;
+        heartbeat.clock_ms = clock_ms.or(heartbeat.clock_ms);
+        self.worker_gone(now, "another incarnation serves its address", out);
+        self.set_worker(now, heartbeat, out);
+    }
+
+    fn deny_candidate(&mut self, out: &mut Vec<Action>) {
+        if let Some(candidate) = self.candidate.take() {
+            out.push(Action::Note(Note::CandidateDenied {
+                id: candidate.heartbeat.id,
+                start_time_ms: candidate.heartbeat.start_time_ms,
+            }));
+        }
+    }
+
     /// Updates the present worker from its heartbeat.
     fn update_worker(&mut self, now: Uptime, heartbeat: Heartbeat, out: &mut Vec<Action>) {
         let Some(worker) = &mut self.worker else {
             return;
         };
         worker.last_heartbeat = heartbeat.number;
+        worker.is_leaving = false;
         let info = WorkerInfo {
             pool: Some(heartbeat.pool),
             capacity: heartbeat.capacity,
@@ -197,10 +281,8 @@
         }
     }
 
-    /// Replaces the worker by a new incarnation. The runs of the previous one are lost.
-    fn replace_worker(&mut self, now: Uptime, heartbeat: Heartbeat, out: &mut Vec<Action>) {
-        let why = "another incarnation sent a heartbeat";
-        self.worker_gone(now, EndEvidence::WorkerReplaced, why, out);
+    /// Sets the worker of a heartbeat, which gets no runs before it has answered a list call.
+    fn set_worker(&mut self, now: Uptime, heartbeat: Heartbeat, out: &mut Vec<Action>) {
         out.push(Action::Note(Note::WorkerFound {
             id: heartbeat.id.clone(),
             start_time_ms: heartbeat.start_time_ms,
@@ -219,6 +301,7 @@
             lease_until: 0,
             last_end_number: 0,
             listed: false,
+            is_leaving: false,
         });
         self.pace = 0.0;
         self.failure_rate = 0.0;
@@ -231,23 +314,49 @@
 
     /// Handles the message of the worker with this id that it shuts down now. Ignored for another
     /// id.
+    ///
+    /// The message may be late and of an earlier incarnation, so it only ends the starts of runs.
+    /// Those at work end by the worker's lists, or with its lease.
     pub fn on_leave(&mut self, now: Uptime, id: &str, out: &mut Vec<Action>) {
-        if self.worker.as_ref().is_some_and(|worker| &*worker.id == id) {
-            let why = "it gave notice that it shuts down";
-            self.worker_gone(now, EndEvidence::WorkerLeft, why, out);
-            self.report(now, out);
+        let Some(worker) = self.worker.as_mut().filter(|worker| &*worker.id == id) else {
+            return;
+        };
+        worker.state = HeartbeatState::Draining;
+        worker.is_leaving = true;
+        self.refuse_queued(NotStarted::NoWorker, out);
+        self.forget_left_worker(now, out);
+        self.report(now, out);
+    }
+
+    /// Forgets a worker that is shutting down once it has no runs.
+    pub(super) fn forget_left_worker(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        let is_leaving = |worker: &Worker| worker.is_leaving;
+        if self.runs.is_empty() && self.worker.as_ref().is_some_and(is_leaving) {
+            self.drop_worker(now, "it gave notice that it shuts down", out);
         }
     }
 
-    /// Handles the end of the worker's incarnation: drops all calls, refuses queued runs and ends
-    /// the others. `why` is for the log.
-    pub(super) fn worker_gone(
-        &mut self,
-        now: Uptime,
-        evidence: EndEvidence,
-        why: &'static str,
-        out: &mut Vec<Action>,
-    ) {
+    /// Handles the proof that another incarnation has taken the worker's place: ends its runs.
+    /// `why` is for the log.
+    ///
+    /// A worker that never answered a list call is only forgotten: runs that an entry expects may be
+    /// at work at the one that serves the address.
+    pub(super) fn worker_gone(&mut self, now: Uptime, why: &'static str, out: &mut Vec<Action>) {
+        let Some(worker) = &self.worker else { return };
+        let was_listed = worker.listed;
+        self.drop_worker(now, why, out);
+        if !was_listed {
+            return;
+        }
+        let runs: Vec<RunId> = self.runs.keys().copied().collect();
+        for run in runs {
+            self.end(now, run, (RunEnd::Gone, EndEvidence::WorkerReplaced), out);
+        }
+    }
+
+    /// Forgets the worker, drops all calls and refuses the queued runs. The others end with the
+    /// lease unless the worker is found again.
+    fn drop_worker(&mut self, now: Uptime, why: &'static str, out: &mut Vec<Action>) {
         let Some(worker) = self.worker.take() else {
             return;
         };
@@ -262,9 +371,5 @@
             out.push(Action::DropCall(id));
         }
         self.refuse_queued(NotStarted::NoWorker, out);
-        let runs: Vec<RunId> = self.runs.keys().copied().collect();
-        for run in runs {
-            self.end(now, run, (RunEnd::Gone, evidence), out);
-        }
     }
 }
--- a/crates/core/src/pool/job.rs
+++ b/crates/core/src/pool/job.rs
@@ -177,8 +177,6 @@
     NotListed,
     /// Another incarnation of the worker took its place.
     WorkerReplaced,
-    /// The worker gave notice that it shuts down.
-    WorkerLeft,
     /// The worker did not answer until its lease had expired.
     LeaseExpired,
     /// The run was withdrawn while it was queued at the agent.
@@ -196,7 +194,6 @@
             Self::Listed => "listed",
             Self::NotListed => "not-listed",
             Self::WorkerReplaced => "worker-replaced",
-            Self::WorkerLeft => "worker-left",
             Self::LeaseExpired => "lease-expired",
             Self::Withdrawn => "withdrawn",
             Self::Unknown => "unknown-to-agent",
--- a/crates/core/tests/pool_driver.rs
+++ b/crates/core/tests/pool_driver.rs
@@ -207,7 +207,12 @@
         heartbeat(7, 1, HeartbeatState::Ready),
         &mut harness.out,
     );
-    assert_eq!(outcome, HeartbeatOutcome::Applied);
+    assert_eq!(outcome, HeartbeatOutcome::Unconfirmed);
+    assert_eq!(harness.ended(run(1, 1)), None, "it has not answered yet");
+    let (id, _) = harness
+        .last_call(|call| matches!(call, Call::Identify { .. }))
+        .expect("the new incarnation is called");
+    harness.answer(id, lists(&[], &[]));
     assert_eq!(harness.ended(run(1, 1)), Some(RunEnd::Gone));
     let outcome = harness.driver.on_heartbeat(
         harness.now,
--- a/crates/core/tests/support/pool.rs
+++ b/crates/core/tests/support/pool.rs
@@ -167,19 +167,24 @@
                     self.extend_lease(now, *deadline);
                 }
                 self.ended.retain(|row| row.number > *last_end_number);
-                let percent = |run: &WorkerRun| {
-                    (100.0 * (1.0 - run.left.as_secs_f64() / run.total.as_secs_f64())) as u8
-                };
-                let running = self.runs.iter().map(|(id, run)| RunningRow {
-                    run: *id,
-                    percent: percent(run),
-                });
-                Reply::Lists {
-                    start_time_ms: Some(self.incarnation),
-                    running: running.collect(),
-                    ended: self.ended.clone(),
-                }
+                self.lists()
             }
+            Call::Identify { .. } => self.lists(),
+        }
+    }
+
+    fn lists(&self) -> Reply {
+        let percent = |run: &WorkerRun| {
+            (100.0 * (1.0 - run.left.as_secs_f64() / run.total.as_secs_f64())) as u8
+        };
+        let running = self.runs.iter().map(|(id, run)| RunningRow {
+            run: *id,
+            percent: percent(run),
+        });
+        Reply::Lists {
+            start_time_ms: Some(self.incarnation),
+            running: running.collect(),
+            ended: self.ended.clone(),
         }
     }
 
@@ -613,7 +618,10 @@
         }
         let answer = now + Duration::from_millis(self.rng.u64(0..self.answer_ms));
         // A call states the incarnation that it is sent to; another one does not execute it.
-        let target = self.agents[a].driver.worker_id().cloned();
+        let target = match &call {
+            Call::Identify { worker } => Some(worker.clone()),
+            _ => self.agents[a].driver.worker_id().cloned(),
+        };
         let other_incarnation = target.is_some_and(|id| *id != *self.agents[a].worker.name(a));
         if !other_incarnation && self.chance(self.faults.lost_call) {
             // Around the deadline of the start, or long after it.
