Pooled jobs: the bound of a worker's clock allows for a slow clock

Cause: the agent called its reading of the worker's clock a lower bound, but counted on at full speed, where that clock may be 2% slow. An idle worker is not called, and its heartbeats did not correct the bound, so that the deadline of the next start, which is the run's lease too, lay up to 2% of the pause further ahead than the 510 + 150 ms that the agent waits for.

Change: the bound counts 2% slow (MAX_CLOCK_DRIFT_PERCENT, which gives WORKER_LEASE too: 510.2 ms). It would fall behind during a pause, and starts would be late, so a heartbeat raises it, but never beyond full speed since the last reading, as a heartbeat may come from another writer. How long the lease is assured is now a time of the agent: the deadline less the clock that the answer states, from when the call was sent. Before, the deadline was compared with the lower bound, so the lease could last 60 ms less than the 250 ms that a short start needs if an answer was long on its way.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -74,9 +74,12 @@
 /// Lease that agents request from workers: long enough that several renewals may be lost, short
 /// enough that runs on a lost worker are soon known to have ended.
 pub const LEASE: Duration = Duration::from_millis(500);
-/// Maximum time that a worker's tasks run without a lease renewal; allows for a clock that is 2%
-/// slow.
-pub const WORKER_LEASE: Duration = Duration::from_millis(510);
+/// By how many percent a worker's clock may be slow. It is never fast.
+pub const MAX_CLOCK_DRIFT_PERCENT: u32 = 2;
+/// Maximum time that a worker's tasks run without a lease renewal, on a clock that is as slow as it
+/// may be.
+pub const WORKER_LEASE: Duration =
+    Duration::from_micros(LEASE.as_micros() as u64 * 100 / (100 - MAX_CLOCK_DRIFT_PERCENT as u64));
 /// Allowance for messages in transit and late timers, added when waiting for a lease to expire.
 pub const LEASE_EXPIRY_MARGIN: Duration = Duration::from_millis(150);
 /// Upper bound of computed times, about 100 years; sums of a few of them do not overflow.
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -196,9 +196,8 @@
     /// The worker's clock in milliseconds, and when it was received. At that time the clock showed
     /// at least this value.
     clock: Option<(u64, Uptime)>,
-    /// Time on the worker's clock, in milliseconds, until which its lease is assured by an answered
-    /// call.
-    lease_until: u64,
+    /// Until when its lease is assured by an answered call.
+    lease_until: Uptime,
     /// Highest sequence number of an ended run in the lists received so far.
     last_end_number: u64,
     /// Whether at least one list was received.
--- a/crates/core/src/pool/driver/answers.rs
+++ b/crates/core/src/pool/driver/answers.rs
@@ -1,6 +1,6 @@
 //! Calls to the worker: their time-outs, their answers, and what it means if there is none.
 
-use super::super::Uptime;
+use super::super::{LEASE, MAX_CLOCK_DRIFT_PERCENT, Uptime};
 use super::lists::ListTime;
 use super::{
     Action, Call, Driver, Duration, FLAKY_UNRESPONSIVE_TIME, LOSSY_PERIOD, MAX_CALL_TIMEOUT,
@@ -37,7 +37,8 @@
     /// Returns a lower bound of the worker's present clock in milliseconds, if its clock is known.
     pub(super) fn worker_clock(&self, now: Uptime) -> Option<u64> {
         let (clock, received) = self.worker.as_ref()?.clock?;
-        Some(clock + now.saturating_sub(received).as_millis() as u64)
+        let passed = now.saturating_sub(received) * (100 - MAX_CLOCK_DRIFT_PERCENT) / 100;
+        Some(clock.saturating_add(passed.as_millis() as u64))
     }
 
     /// Handles the outcome of the call with this number. `clock_ms` is the worker's clock in
@@ -93,7 +94,7 @@
         if let (Some(worker), Some(clock)) = (&mut self.worker, clock_ms) {
             worker.clock = Some((clock, now));
         }
-        self.note_lease(&pending.call, &reply);
+        self.note_lease(&pending, &reply, clock_ms);
         match (pending.call, reply) {
             (Call::Start { run, .. }, Reply::Started) => self.on_started(now, run),
             (Call::Start { run, .. }, Reply::Refused(why)) => {
@@ -119,15 +120,18 @@
         }
     }
 
-    /// Records how long the worker's lease lasts at least after an answered call.
-    fn note_lease(&mut self, call: &Call, reply: &Reply) {
-        let deadline = match (call, reply) {
+    /// Records how long the worker's lease lasts at least after an answered call. The clock that the
+    /// answer states was read after the call was sent.
+    fn note_lease(&mut self, pending: &PendingCall, reply: &Reply, clock_ms: Option<u64>) {
+        let deadline = match (&pending.call, reply) {
             (Call::Start { deadline_ms, .. }, Reply::Started) => Some(*deadline_ms),
             (Call::List { deadline_ms, .. }, Reply::Lists { .. }) => *deadline_ms,
             _ => None,
         };
-        if let (Some(worker), Some(deadline)) = (&mut self.worker, deadline) {
-            worker.lease_until = worker.lease_until.max(deadline);
+        if let (Some(worker), Some(deadline), Some(clock)) = (&mut self.worker, deadline, clock_ms)
+        {
+            let left = Duration::from_millis(deadline.saturating_sub(clock));
+            worker.lease_until = worker.lease_until.max(pending.sent + left.min(LEASE));
         }
     }
 
--- a/crates/core/src/pool/driver/starts.rs
+++ b/crates/core/src/pool/driver/starts.rs
@@ -84,11 +84,14 @@
         self.refuse_overdue(now, out);
     }
 
-    /// Sends the start of a queued run. `clock` is the worker's present clock in milliseconds.
+    /// Sends the start of a queued run. `clock` is a lower bound of the worker's present clock
+    /// in milliseconds.
     fn send_start(&mut self, now: Uptime, id: RunId, clock: u64, out: &mut Vec<Action>) {
         let free = self.free();
-        let lease_until = self.worker.as_ref().map_or(0, |worker| worker.lease_until);
-        let is_assured = lease_until >= clock + ASSURED_LEASE.as_millis() as u64;
+        let is_assured = self
+            .worker
+            .as_ref()
+            .is_some_and(|worker| worker.lease_until >= now + ASSURED_LEASE);
         let window = if is_assured {
             SHORT_START_WINDOW
         } else {
--- a/crates/core/src/pool/driver/worker.rs
+++ b/crates/core/src/pool/driver/worker.rs
@@ -165,9 +165,11 @@
 
     /// Updates the present worker from its heartbeat.
     fn update_worker(&mut self, now: Uptime, heartbeat: Heartbeat, out: &mut Vec<Action>) {
+        let clock = self.clock_of_heartbeat(now, heartbeat.clock_ms);
         let Some(worker) = &mut self.worker else {
             return;
         };
+        worker.clock = clock;
         worker.last_heartbeat = heartbeat.number;
         let info = WorkerInfo {
             pool: Some(heartbeat.pool),
@@ -180,11 +182,6 @@
                 entry.info_sent = false;
             }
         }
-        if let Some(clock) = heartbeat.clock_ms
-            && worker.clock.is_none()
-        {
-            worker.clock = Some((clock, now));
-        }
         if worker.state != heartbeat.state {
             worker.state = heartbeat.state;
             out.push(Action::Note(Note::WorkerState {
@@ -197,6 +194,25 @@
         }
     }
 
+    /// Returns the lower bound of the worker's clock, and when it held, after a heartbeat that
+    /// states this clock. The bound of an idle worker's clock falls behind without it.
+    fn clock_of_heartbeat(&self, now: Uptime, stated: Option<u64>) -> Option<(u64, Uptime)> {
+        let known = self.worker.as_ref().and_then(|worker| worker.clock);
+        let (Some(stated), Some((clock, received)), Some(bound)) =
+            (stated, known, self.worker_clock(now))
+        else {
+            return known.or(stated.map(|clock| (clock, now)));
+        };
+        // A clock is never fast. One that says so is not that of the worker.
+        let at_full_speed = clock.saturating_add(now.saturating_sub(received).as_millis() as u64);
+        let stated = stated.min(at_full_speed);
+        if stated > bound {
+            Some((stated, now))
+        } else {
+            known
+        }
+    }
+
     /// Replaces the worker by a new incarnation. The runs of the previous one are lost.
     fn replace_worker(&mut self, now: Uptime, heartbeat: Heartbeat, out: &mut Vec<Action>) {
         let replaced = self.worker.is_some();
@@ -220,7 +236,7 @@
             state: heartbeat.state,
             last_heartbeat: heartbeat.number,
             clock: heartbeat.clock_ms.map(|clock| (clock, now)),
-            lease_until: 0,
+            lease_until: Uptime::ZERO,
             last_end_number: 0,
             listed: false,
         });
