Pooled jobs: calls carry a fencing token of the worker's life

Cause: the new life knows neither the bar of the stop, nor is the deadline, on the clock of the life before, past for it. And when a life ended, the agent gave back the starts whose outcome it did not know as well.

Change: every call carries a fencing token, the start time of the worker's life, or one more than the last token if the wall clock of its machine stepped back. The late start is refused. If a life is replaced by another one under the same id, by its heartbeat or by a list that states another start time, no started run ends before a list of the new life, asked for with its token: those that ran end with the first list without them, those whose start was not answered are stopped there first, and neither ends while another attempt of its task is in the list. A run that the new life has started before the agent knew of it goes on. A call that was not sent yet when the life ended is not sent. A list that shows a new life is enough to follow it; before, the worker was unknown until its next heartbeat.

A refusal as `fence` of a start is its refusal; of a list or a stop, an unanswered call. In each case no run starts before the next list is answered, and the token rises, twice as far each time, so that a worker that has seen a higher one (from an agent before a restart, or from a late call to a life that began later by a clock that was set back) is not lost for good.

--- a/crates/agent/src/pooled.rs
+++ b/crates/agent/src/pooled.rs
@@ -56,8 +56,9 @@
     fn parse_request(&self, req: &HttpRequest) -> WorkerRequest;
     /// Returns the response to an announcement, or to a notice that the worker is shutting down.
     fn acknowledge(&self) -> HttpResponse;
-    /// Builds the HTTP request of a call. `worker` is the id of the worker that it is meant for.
-    fn call(&self, call: &Call, worker: Option<&Name>) -> HttpRequest;
+    /// Builds the HTTP request of a call. `worker` is the id of the worker that it is meant for, and
+    /// `token` the fencing token of its present life.
+    fn call(&self, call: &Call, worker: Option<&Name>, token: u64) -> HttpRequest;
     /// Parses the response to a call. The second value is the worker's clock in milliseconds, if
     /// stated.
     fn parse_response(&self, call: &Call, response: &HttpResponse) -> (Reply, Option<u64>);
@@ -359,7 +360,8 @@
                     }
                 }
                 Action::Call(id, call) => {
-                    let req = self.protocol.call(&call, self.driver.worker_id());
+                    let (worker, token) = (self.driver.worker_id(), self.driver.fencing_token());
+                    let req = self.protocol.call(&call, worker, token);
                     if !self.calls.start(now, id, call, &req, &mut self.net) {
                         failed.push(id);
                     }
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -235,6 +235,11 @@
     /// Calls in flight, by number.
     calls: IndexMap<u64, PendingCall>,
     next_call: u64,
+    /// Fencing token of all calls to the present worker: its start time in Unix milliseconds, or
+    /// more if a token was as high before.
+    token: u64,
+    /// How far the token rises with the next refusal as too low.
+    token_step: u64,
     /// When a call that extends the worker's lease was last sent.
     last_renewal: Uptime,
     /// Consecutive unanswered calls.
@@ -275,6 +280,8 @@
             entries: IndexMap::new(),
             calls: IndexMap::new(),
             next_call: 1,
+            token: 0,
+            token_step: 1,
             last_renewal: now,
             unanswered: 0,
             last_answer: now,
@@ -300,6 +307,12 @@
         self.worker.as_ref().map(|worker| &worker.info)
     }
 
+    /// Returns the fencing token that calls to the worker carry. It rises with each life of the
+    /// worker, so that a call to the life before that arrives late has no effect on the next one.
+    pub fn fencing_token(&self) -> u64 {
+        self.token
+    }
+
     /// Returns whether no run is queued or running.
     pub fn is_idle(&self) -> bool {
         self.runs.is_empty()
--- a/crates/core/src/pool/driver/answers.rs
+++ b/crates/core/src/pool/driver/answers.rs
@@ -54,7 +54,9 @@
         let Some(pending) = self.calls.swap_remove(&id) else {
             return;
         };
-        if matches!(reply, Reply::NotSent | Reply::Unknown) {
+        if reply == Reply::Fenced {
+            self.on_fenced(now, &pending, out);
+        } else if matches!(reply, Reply::NotSent | Reply::Unknown) {
             self.on_no_answer(now, &pending, reply == Reply::NotSent, out);
         } else {
             self.on_answer(now, pending, reply, clock_ms, out);
@@ -64,6 +66,22 @@
         self.report(now, out);
     }
 
+    /// Handles the refusal of a call since the worker has seen a higher token: one that an earlier
+    /// agent process sent, or a late call to a life that began later by a clock that was set back
+    /// since. What is known of this life may be out of date, so nothing is started before a list.
+    fn on_fenced(&mut self, now: Uptime, pending: &PendingCall, out: &mut Vec<Action>) {
+        self.token = self.token.saturating_add(self.token_step);
+        self.token_step = self.token_step.saturating_mul(2);
+        if let Some(worker) = &mut self.worker {
+            worker.listed = false;
+        }
+        if let Call::Start { run, .. } = pending.call {
+            self.refuse(run, NotStarted::Unanswered, out);
+        } else {
+            self.on_no_answer(now, pending, false, out);
+        }
+    }
+
     fn on_answer(
         &mut self,
         now: Uptime,
--- a/crates/core/src/pool/driver/call.rs
+++ b/crates/core/src/pool/driver/call.rs
@@ -91,6 +91,8 @@
     },
     /// Another incarnation of the worker answered; the call had no effect.
     OtherWorker,
+    /// The worker has seen a higher fencing token; the call had no effect.
+    Fenced,
     /// No connection was made, so the call did not reach the worker.
     NotSent,
     /// The connection ended without an answer, or the answer cannot be parsed. The worker may have
--- a/crates/core/src/pool/driver/lists.rs
+++ b/crates/core/src/pool/driver/lists.rs
@@ -113,10 +113,11 @@
         let Some(worker) = &mut self.worker else {
             return;
         };
-        if start_time_ms.is_some_and(|start_time_ms| {
-            start_time_ms != worker.start_time_ms && worker.start_time_ms != 0
-        }) {
-            self.worker_gone(now, out);
+        if let Some(start_time_ms) = start_time_ms
+            && start_time_ms != worker.start_time_ms
+            && worker.start_time_ms != 0
+        {
+            self.next_life(now, start_time_ms, time.clock_ms, out);
             return;
         }
         worker.listed = true;
@@ -230,8 +231,9 @@
                     && time
                         .clock_ms
                         .is_some_and(|clock| clock > run.start_deadline);
+                // Another attempt, of a start that was carried out late, is stopped first.
                 (is_too_late || since.is_some_and(|since| since < time.requested))
-                    && !running.iter().any(|row| row.run == **id)
+                    && !running.iter().any(|row| row.run.task == id.task)
             })
             .map(|(id, _)| *id)
             .collect();
--- a/crates/core/src/pool/driver/worker.rs
+++ b/crates/core/src/pool/driver/worker.rs
@@ -6,7 +6,7 @@
 use super::super::Uptime;
 use super::super::job::{Resources, RunEnd, RunId};
 use super::super::msg::{NotStarted, WorkerInfo};
-use super::{Action, Driver, Name, Note, Worker};
+use super::{Action, Driver, Name, Note, State, Worker};
 
 /// Maximum length in bytes of a worker's id, pool and labels.
 const MAX_NAME_BYTES: usize = 256;
@@ -158,6 +158,7 @@
                 HeartbeatOutcome::Applied
             }
         };
+        self.retry_stops(now, out);
         self.request_list(now, out);
         self.report(now, out);
         outcome
@@ -217,9 +218,14 @@
     fn replace_worker(&mut self, now: Uptime, heartbeat: Heartbeat, out: &mut Vec<Action>) {
         let replaced = self.worker.is_some();
         let lost = if replaced { self.runs.len() } else { 0 };
-        if replaced {
+        let same_id = |worker: &Worker| worker.id == heartbeat.id;
+        let restarted = self.worker.as_ref().is_some_and(same_id);
+        if restarted {
+            self.keep_runs_for_next_life(now, out);
+        } else if replaced {
             self.worker_gone(now, out);
         }
+        self.raise_token(heartbeat.start_time_ms);
         out.push(Action::Note(Note::WorkerFound {
             id: heartbeat.id.clone(),
             start_time_ms: heartbeat.start_time_ms,
@@ -249,6 +255,60 @@
         }
     }
 
+    /// Handles a list that shows that the worker has started again under its id.
+    pub(super) fn next_life(
+        &mut self,
+        now: Uptime,
+        start_time_ms: u64,
+        clock_ms: Option<u64>,
+        out: &mut Vec<Action>,
+    ) {
+        self.keep_runs_for_next_life(now, out);
+        self.raise_token(start_time_ms);
+        if let Some(worker) = &mut self.worker {
+            worker.start_time_ms = start_time_ms;
+            worker.last_heartbeat = 0;
+            worker.clock = clock_ms.map(|clock| (clock, now));
+            worker.lease_until = Uptime::ZERO;
+            worker.last_end_number = 0;
+            worker.listed = false;
+            out.push(Action::Note(Note::WorkerFound {
+                id: worker.id.clone(),
+                start_time_ms,
+                lost: 0,
+            }));
+        }
+    }
+
+    /// Sets the token of the calls to a life of the worker that began at this time.
+    fn raise_token(&mut self, start_time_ms: u64) {
+        self.token = start_time_ms.max(self.token + u64::from(self.token > 0));
+        self.token_step = 1;
+    }
+
+    /// Prepares the runs for the next life of the worker under the same id. A start that was sent to
+    /// the life before may be carried out by the next one until that one has seen its token, so no
+    /// run ends before a list of the next life. Starts without an answer are barred there first.
+    fn keep_runs_for_next_life(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        // A call that was not sent yet would carry the token of the next life.
+        out.retain(|action| !matches!(action, Action::Call(id, _) if self.calls.contains_key(id)));
+        for (id, _) in std::mem::take(&mut self.calls) {
+            out.push(Action::DropCall(id));
+        }
+        self.refuse_queued(NotStarted::NoWorker, out);
+        for run in self.runs.values_mut() {
+            if run.state != State::Running {
+                run.state = State::Unknown;
+                run.start_deadline = 0;
+                run.settled_by_stop = true;
+                run.stop_answered = None;
+                run.stop_in_flight = false;
+                run.next_stop = now;
+            }
+        }
+        self.last_renewal = now;
+    }
+
     /// Handles the message of the worker with this id that it shuts down now. Ignored for another
     /// id.
     pub fn on_leave(&mut self, now: Uptime, id: &str, out: &mut Vec<Action>) {
