--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -196,15 +196,16 @@
     /// The worker's clock in milliseconds, and when it was received. At that time the clock showed
     /// at least this value.
     clock: Option<(u64, Uptime)>,
-    /// Time on the worker's clock, in milliseconds, until which its lease is assured by an answered
-    /// call.
-    lease_until: u64,
+    /// Until when its lease is assured by an answered call.
+    lease_until: Uptime,
     /// Highest sequence number of an ended run in the lists received so far.
     last_end_number: u64,
     /// Whether at least one list was received.
     listed: bool,
     /// Whether it gave notice that it shuts down.
     is_leaving: bool,
+    /// Whether it has answered a call, which proves that it serves the worker's address.
+    is_proven: bool,
 }
 
 /// Another incarnation that sent a heartbeat and has not answered a call yet.
@@ -257,6 +258,11 @@
     /// Calls in flight, by number.
     calls: IndexMap<u64, PendingCall>,
     next_call: u64,
+    /// Fencing token of all calls to the present worker: its start time in Unix milliseconds, or
+    /// more if a token was as high before.
+    token: u64,
+    /// How far the token rises with the next refusal as too low.
+    token_step: u64,
     /// When a call that extends the worker's lease was last sent.
     last_renewal: Uptime,
     /// Consecutive unanswered calls.
@@ -298,6 +304,8 @@
             entries: IndexMap::new(),
             calls: IndexMap::new(),
             next_call: 1,
+            token: 0,
+            token_step: 1,
             last_renewal: now,
             unanswered: 0,
             last_answer: now,
@@ -323,6 +331,12 @@
         self.worker.as_ref().map(|worker| &worker.info)
     }
 
+    /// Returns the fencing token that calls to the worker carry. It rises with each life of the
+    /// worker, so that a call to the life before that arrives late has no effect on the next one.
+    pub fn fencing_token(&self) -> u64 {
+        self.token
+    }
+
     /// Returns whether no run is queued or running.
     pub fn is_idle(&self) -> bool {
         self.runs.is_empty()
--- a/crates/core/src/pool/driver/worker.rs
+++ b/crates/core/src/pool/driver/worker.rs
@@ -7,7 +7,7 @@
 use super::super::job::{EndEvidence, Resources, RunEnd, RunId};
 use super::super::msg::{NotStarted, WorkerInfo};
 use super::{
-    Action, Call, Candidate, Driver, MAX_CALL_TIMEOUT, Name, Note, PendingCall, Reply,
+    Action, Call, Candidate, Driver, MAX_CALL_TIMEOUT, Name, Note, PendingCall, Reply, State,
     UNRESPONSIVE_LIST_INTERVAL, Worker,
 };
 
@@ -172,6 +172,7 @@
                 HeartbeatOutcome::Applied
             }
         };
+        self.retry_stops(now, out);
         self.identify_candidate(now, out);
         self.request_list(now, out);
         self.report(now, out);
@@ -233,8 +234,17 @@
         }
         let mut heartbeat = candidate.heartbeat;
         heartbeat.clock_ms = clock_ms.or(heartbeat.clock_ms);
-        self.worker_gone(now, "another incarnation serves its address", out);
+        let restarted = self.worker_id() == Some(&heartbeat.id);
+        if restarted {
+            self.keep_runs_for_next_life(now, out);
+        } else {
+            self.worker_gone(now, "another incarnation serves its address", out);
+        }
         self.set_worker(now, heartbeat, out);
+        if let Some(worker) = &mut self.worker {
+            worker.is_proven = true;
+        }
+        self.retry_stops(now, out);
     }
 
     fn deny_candidate(&mut self, out: &mut Vec<Action>) {
@@ -248,9 +258,11 @@
 
     /// Updates the present worker from its heartbeat.
     fn update_worker(&mut self, now: Uptime, heartbeat: Heartbeat, out: &mut Vec<Action>) {
+        let clock = self.clock_of_heartbeat(now, heartbeat.clock_ms);
         let Some(worker) = &mut self.worker else {
             return;
         };
+        worker.clock = clock;
         worker.last_heartbeat = heartbeat.number;
         worker.is_leaving = false;
         let info = WorkerInfo {
@@ -264,11 +276,6 @@
                 entry.info_sent = false;
             }
         }
-        if let Some(clock) = heartbeat.clock_ms
-            && worker.clock.is_none()
-        {
-            worker.clock = Some((clock, now));
-        }
         if worker.state != heartbeat.state {
             worker.state = heartbeat.state;
             out.push(Action::Note(Note::WorkerState {
@@ -281,8 +288,28 @@
         }
     }
 
+    /// Returns the lower bound of the worker's clock, and when it held, after a heartbeat that
+    /// states this clock. The bound of an idle worker's clock falls behind without it.
+    fn clock_of_heartbeat(&self, now: Uptime, stated: Option<u64>) -> Option<(u64, Uptime)> {
+        let known = self.worker.as_ref().and_then(|worker| worker.clock);
+        let (Some(stated), Some((clock, received)), Some(bound)) =
+            (stated, known, self.worker_clock(now))
+        else {
+            return known.or(stated.map(|clock| (clock, now)));
+        };
+        // A clock is never fast. One that says so is not that of the worker.
+        let at_full_speed = clock.saturating_add(now.saturating_sub(received).as_millis() as u64);
+        let stated = stated.min(at_full_speed);
+        if stated > bound {
+            Some((stated, now))
+        } else {
+            known
+        }
+    }
+
     /// Sets the worker of a heartbeat, which gets no runs before it has answered a list call.
     fn set_worker(&mut self, now: Uptime, heartbeat: Heartbeat, out: &mut Vec<Action>) {
+        self.raise_token(heartbeat.start_time_ms);
         out.push(Action::Note(Note::WorkerFound {
             id: heartbeat.id.clone(),
             start_time_ms: heartbeat.start_time_ms,
@@ -298,10 +325,11 @@
             state: heartbeat.state,
             last_heartbeat: heartbeat.number,
             clock: heartbeat.clock_ms.map(|clock| (clock, now)),
-            lease_until: 0,
+            lease_until: Uptime::ZERO,
             last_end_number: 0,
             listed: false,
             is_leaving: false,
+            is_proven: false,
         });
         self.pace = 0.0;
         self.failure_rate = 0.0;
@@ -312,6 +340,61 @@
         }
     }
 
+    /// Handles a list that shows that the worker has started again under its id.
+    pub(super) fn next_life(
+        &mut self,
+        now: Uptime,
+        start_time_ms: u64,
+        clock_ms: Option<u64>,
+        out: &mut Vec<Action>,
+    ) {
+        self.keep_runs_for_next_life(now, out);
+        self.raise_token(start_time_ms);
+        self.candidate = None;
+        if let Some(worker) = &mut self.worker {
+            worker.start_time_ms = start_time_ms;
+            worker.last_heartbeat = 0;
+            worker.clock = clock_ms.map(|clock| (clock, now));
+            worker.lease_until = Uptime::ZERO;
+            worker.last_end_number = 0;
+            worker.listed = false;
+            worker.is_leaving = false;
+            out.push(Action::Note(Note::WorkerFound {
+                id: worker.id.clone(),
+                start_time_ms,
+            }));
+        }
+    }
+
+    /// Sets the token of the calls to a life of the worker that began at this time.
+    fn raise_token(&mut self, start_time_ms: u64) {
+        self.token = start_time_ms.max(self.token + u64::from(self.token > 0));
+        self.token_step = 1;
+    }
+
+    /// Prepares the runs for the next life of the worker under the same id. A start that was sent to
+    /// the life before may be carried out by the next one until that one has seen its token, so no
+    /// run ends before a list of the next life. Starts without an answer are barred there first.
+    fn keep_runs_for_next_life(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        // A call that was not sent yet would carry the token of the next life.
+        out.retain(|action| !matches!(action, Action::Call(id, _) if self.calls.contains_key(id)));
+        for (id, _) in std::mem::take(&mut self.calls) {
+            out.push(Action::DropCall(id));
+        }
+        self.refuse_queued(NotStarted::NoWorker, out);
+        for run in self.runs.values_mut() {
+            if run.state != State::Running {
+                run.state = State::Unknown;
+                run.start_deadline = 0;
+                run.settled_by_stop = true;
+                run.stop_answered = None;
+                run.stop_in_flight = false;
+                run.next_stop = now;
+            }
+        }
+        self.last_renewal = now;
+    }
+
     /// Handles the message of the worker with this id that it shuts down now. Ignored for another
     /// id.
     ///
@@ -339,13 +422,13 @@
     /// Handles the proof that another incarnation has taken the worker's place: ends its runs.
     /// `why` is for the log.
     ///
-    /// A worker that never answered a list call is only forgotten: runs that an entry expects may be
+    /// A worker that never answered is only forgotten: runs that an entry expects may be
     /// at work at the one that serves the address.
     pub(super) fn worker_gone(&mut self, now: Uptime, why: &'static str, out: &mut Vec<Action>) {
         let Some(worker) = &self.worker else { return };
-        let was_listed = worker.listed;
+        let was_proven = worker.is_proven;
         self.drop_worker(now, why, out);
-        if !was_listed {
+        if !was_proven {
             return;
         }
         let runs: Vec<RunId> = self.runs.keys().copied().collect();
--- a/crates/core/tests/pool_incarnations.rs
+++ b/crates/core/tests/pool_incarnations.rs
@@ -125,6 +125,11 @@
         let id = heartbeat.id.clone();
         receive(&mut harness, heartbeat);
         answer_identify(&mut harness, lists_of(start_time_ms));
+        if &*id == "w1" {
+            assert_eq!(harness.ended(run(1, 1)), None, "a late start may follow");
+            harness.advance(MS);
+            harness.answer_list(&[], &[]);
+        }
         assert_eq!(harness.ended(run(1, 1)), Some(RunEnd::Gone), "{what}");
         assert_eq!(harness.driver.worker_id(), Some(&id), "{what}");
     }
