A call to a replaced worker is not sent to its successor

Cause: calls take the id and the token of the worker when they are carried out, so one that was still to be sent when its worker was replaced by one of another id would have named the successor. Change: such calls are dropped, as they are already for the next life under the same id. The test failed before.

--- a/crates/core/src/pool/driver/worker.rs
+++ b/crates/core/src/pool/driver/worker.rs
@@ -376,11 +376,7 @@
     /// the life before may be carried out by the next one until that one has seen its token, so no
     /// run ends before a list of the next life. Starts without an answer are barred there first.
     fn keep_runs_for_next_life(&mut self, now: Uptime, out: &mut Vec<Action>) {
-        // A call that was not sent yet would carry the token of the next life.
-        out.retain(|action| !matches!(action, Action::Call(id, _) if self.calls.contains_key(id)));
-        for (id, _) in std::mem::take(&mut self.calls) {
-            out.push(Action::DropCall(id));
-        }
+        self.drop_calls(out);
         self.refuse_queued(NotStarted::NoWorker, out);
         for run in self.runs.values_mut() {
             if run.state != State::Running {
@@ -450,9 +446,15 @@
             runs: self.runs.len(),
             since_renewal: now.saturating_sub(self.last_renewal),
         }));
+        self.drop_calls(out);
+        self.refuse_queued(NotStarted::NoWorker, out);
+    }
+
+    fn drop_calls(&mut self, out: &mut Vec<Action>) {
+        // One that was not sent yet would carry the id and the token of the next incarnation.
+        out.retain(|action| !matches!(action, Action::Call(id, _) if self.calls.contains_key(id)));
         for (id, _) in std::mem::take(&mut self.calls) {
             out.push(Action::DropCall(id));
         }
-        self.refuse_queued(NotStarted::NoWorker, out);
     }
 }
--- a/crates/core/tests/pool_incarnations.rs
+++ b/crates/core/tests/pool_incarnations.rs
@@ -205,3 +205,13 @@
     harness.advance(10 * MS);
     assert_eq!(harness.driver.worker_id(), None);
 }
+
+#[test]
+fn a_call_to_a_replaced_worker_is_not_sent_to_its_successor() {
+    let mut harness = harness_with_run();
+    harness.start(run(2, 1), 1000, 0);
+    assert!(harness.start_call().is_some());
+    receive(&mut harness, other_identity(OTHER_IDENTITIES[0].1));
+    answer_identify(&mut harness, lists_of(2));
+    assert_eq!(harness.start_call(), None);
+}
