Model: more kinds of faults of workers, links between entries, callers and processes

The model of pooled jobs missed four ways to run a task twice. It now has, each with a rate of its own: heartbeats of another identity, notices of shutdown of a worker that goes on, restarts of a worker under its id with late starts of the earlier life, late heartbeats, workers cut off for seconds or right after a start, slow clocks with pauses, links between entries cut or closed for long, callers whose connection goes silent or that send a job again beside an open one, and processes that act late on the time and events that they have read, with answers in any order. A worker's clock now starts with each of its lives.

Delayed processes do not yet (with replaced workers they break).

The answer to a list call now takes at least 1 ms: without lost calls, a driver could otherwise send any number of them within one step. A fault at rate 0 draws no random number. The file is split by job.

--- a/crates/core/tests/pool_properties.rs
+++ b/crates/core/tests/pool_properties.rs
@@ -10,7 +10,8 @@
 
 use std::env;
 
-use pool::{FREQUENT_FAULTS, Faults, RARE_FAULTS, Simulation};
+use pool::Simulation;
+use pool::faults::{FREQUENT_FAULTS, Faults, NO_FAULTS, RARE_FAULTS};
 use quickcheck::{QuickCheck, TestResult};
 
 const STEPS: u64 = 4_000;
@@ -72,17 +73,7 @@
 
 #[test]
 fn without_faults_jobs_are_completed_and_none_is_resent() {
-    let none = Faults {
-        kill_entry: 0,
-        kill_agent: 0,
-        suspend: 0,
-        cut: 0,
-        lost_call: 0,
-        worker_crash: 0,
-        disconnect: 0,
-        retire: 0,
-    };
-    let simulation = run(3, none);
+    let simulation = run(3, NO_FAULTS);
     assert!(
         simulation.completed > 100,
         "only {} jobs were completed",
