Failing tests: ways in which a task of a pooled job runs twice

Each plays one kind of fault alone in the model, or is the shortest sequence at the driver or scheduler.

--- a/crates/core/tests/pool_driver.rs
+++ b/crates/core/tests/pool_driver.rs
@@ -322,3 +322,27 @@
     let stalled = |msg: &&ToEntry| matches!(msg, ToEntry::Behind { left_ms: None, .. });
     assert!(harness.sent().iter().any(stalled), "{:?}", harness.sent());
 }
+
+#[test]
+fn the_lease_of_a_start_is_bounded_although_the_clock_of_an_idle_worker_was_slow() {
+    let mut harness = Harness::new();
+    for _ in 0..250 {
+        harness.driver.on_entry_activity(harness.now, &"e0".into());
+        harness.advance(100 * MS);
+    }
+    harness.clock_ms += 250 * 98;
+    harness.start(run(1, 1), 1000, 1000);
+    if harness.start_call().is_none() {
+        harness.answer_list(&[], &[]);
+    }
+    let (_, call) = harness.start_call().expect("a start call is sent");
+    let Call::Start { deadline_ms, .. } = call else {
+        unreachable!("not a start: {call:?}");
+    };
+    let lease_ms = rw_core::pool::LEASE.as_millis() as u64;
+    let latest = harness.clock_ms + lease_ms;
+    assert!(
+        deadline_ms <= latest,
+        "the lease lasts until {deadline_ms} instead of {latest} on the worker's clock"
+    );
+}
--- a/crates/core/tests/pool_heartbeats.rs
+++ b/crates/core/tests/pool_heartbeats.rs
@@ -4,9 +4,9 @@
 #[path = "support/driver.rs"]
 mod driver;
 
-use driver::{Harness, MS, heartbeat, run};
+use driver::{Harness, MS, heartbeat, lists, run};
 use indexmap::IndexSet;
-use rw_core::pool::driver::{Heartbeat, HeartbeatOutcome, HeartbeatState};
+use rw_core::pool::driver::{Call, Heartbeat, HeartbeatOutcome, HeartbeatState, Reply};
 use rw_core::pool::job::RunEnd;
 use rw_core::pool::msg::ToEntry;
 
@@ -104,3 +104,41 @@
         .on_heartbeat_at(harness.now, WALL_MS, good, &mut harness.out);
     assert_eq!(outcome, HeartbeatOutcome::Applied);
 }
+
+#[test]
+fn a_heartbeat_of_another_worker_ends_no_run_before_that_worker_has_answered() {
+    for (id, start_time_ms) in [("other", 2), ("w1", 2)] {
+        let mut harness = harness();
+        let mut other = heartbeat(start_time_ms, 1, HeartbeatState::Ready);
+        other.id = id.into();
+        harness
+            .driver
+            .on_heartbeat_at(harness.now, WALL_MS, other, &mut harness.out);
+        harness.advance(MS);
+        assert_eq!(harness.ended(run(1, 1)), None::<RunEnd>, "{id}");
+    }
+}
+
+#[test]
+fn a_notice_of_shutdown_ends_no_run_whose_lease_may_last() {
+    let mut harness = harness();
+    harness.driver.on_leave(harness.now, "w1", &mut harness.out);
+    harness.advance(MS);
+    assert_eq!(harness.ended(run(1, 1)), None::<RunEnd>);
+}
+
+#[test]
+fn a_run_that_the_first_list_of_a_restarted_worker_shows_has_not_ended() {
+    let mut harness = Harness::new();
+    // The restart is not known yet; the new life has the same id and executes the start.
+    harness.start_confirmed(run(1, 1), 1000);
+    let (list, _) = harness
+        .last_call(|call| matches!(call, Call::List { .. }))
+        .expect("a list call is sent");
+    let mut reply = lists(&[run(1, 1)], &[]);
+    if let Reply::Lists { start_time_ms, .. } = &mut reply {
+        *start_time_ms = Some(2);
+    }
+    harness.answer(list, reply);
+    assert_eq!(harness.ended(run(1, 1)), None::<RunEnd>);
+}
--- a/crates/core/tests/pool_scheduler.rs
+++ b/crates/core/tests/pool_scheduler.rs
@@ -641,3 +641,27 @@
         .on_peer(second.now, &e1, yielded, &mut second.out);
     assert_eq!(second.starts().len(), 2);
 }
+
+#[test]
+fn a_job_that_waits_for_an_entry_is_not_yielded_before_that_entry_has_yielded_it() {
+    let mut harness = Harness::new(&["a0"]);
+    let (first, third): (Name, Name) = ("e1".into(), "e2".into());
+    harness.scheduler.peer_up(&first, &mut harness.out);
+    harness.scheduler.peer_up(&third, &mut harness.out);
+    let jobs = vec![JobId(1)];
+    let started = Peer::JobsStarted { jobs };
+    harness
+        .scheduler
+        .on_peer(harness.now, &first, started, &mut harness.out);
+    harness.submit(job(1, 1, cpu(1000)), 7);
+    harness.take_actions();
+    let request = Peer::Yield { job: JobId(1) };
+    harness
+        .scheduler
+        .on_peer(harness.now, &third, request, &mut harness.out);
+    let yielded = Peer::Yielded { job: JobId(1) };
+    assert!(
+        !harness.peer_msgs().contains(&(third, yielded)),
+        "the first entry may still run it"
+    );
+}
