Failing test: late heartbeat of an earlier worker at a restarted agent

The agent process is new and takes the late heartbeat for that of its worker.

docs/TESTING.md names pool_faults.

--- a/crates/core/tests/pool_faults.rs
+++ b/crates/core/tests/pool_faults.rs
@@ -123,3 +123,15 @@
     };
     play(52, 6, STEPS, faults);
 }
+
+#[test]
+fn a_late_heartbeat_of_an_earlier_worker_at_a_restarted_agent_does_not_end_the_runs_of_the_present_one()
+ {
+    let faults = Faults {
+        worker_crash: 10,
+        kill_agent: 10,
+        late_heartbeat: 300,
+        ..NO_FAULTS
+    };
+    play(1, 8, STEPS, faults);
+}
