--- a/crates/agent/src/pooled.rs
+++ b/crates/agent/src/pooled.rs
@@ -12,7 +12,7 @@
 use rw_core::members::Member;
 use rw_core::msg::{Msg, Role};
 use rw_core::pool::Uptime;
-use rw_core::pool::driver::{Action, Call, Driver, Heartbeat, HeartbeatOutcome, Reply};
+use rw_core::pool::driver::{Action, Call, CallTarget, Driver, Heartbeat, HeartbeatOutcome, Reply};
 use rw_core::pool::msg::{PoolMsg, WorkerInfo};
 use rw_core::pool::subset::{Entries, LinkCount};
 use rw_host::cluster::{Cluster, ClusterEvent};
@@ -56,9 +56,8 @@
     fn parse_request(&self, req: &HttpRequest) -> WorkerRequest;
     /// Returns the response to an announcement, or to a notice that the worker is shutting down.
     fn acknowledge(&self) -> HttpResponse;
-    /// Builds the HTTP request of a call. `worker` is the id of the worker that it is meant for, and
-    /// `token` the fencing token of its present life.
-    fn call(&self, call: &Call, worker: Option<&Name>, token: u64) -> HttpRequest;
+    /// Builds the HTTP request of a call to a worker.
+    fn call(&self, call: &Call, target: &CallTarget) -> HttpRequest;
     /// Parses the response to a call. The second value is the worker's clock in milliseconds, if
     /// stated.
     fn parse_response(&self, call: &Call, response: &HttpResponse) -> (Reply, Option<u64>);
@@ -365,8 +364,10 @@
                     }
                 }
                 Action::Call(id, call) => {
-                    let (worker, token) = (self.driver.worker_id(), self.driver.fencing_token());
-                    let req = self.protocol.call(&call, worker, token);
+                    let Some(target) = self.driver.call_target(id) else {
+                        continue;
+                    };
+                    let req = self.protocol.call(&call, target);
                     if !self.calls.start(now, id, call, &req, &mut self.net) {
                         failed.push(id);
                     }
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -24,7 +24,7 @@
 use super::msg::{CapacityReport, NotStarted, ToEntry, WorkerInfo};
 use crate::ids::{Name, NodeRef};
 
-pub use call::{Call, EndedRow, Reply, RunningRow, StartRefusal};
+pub use call::{Call, CallTarget, EndedRow, Reply, RunningRow, StartRefusal};
 pub use note::Note;
 pub use worker::{Heartbeat, HeartbeatOutcome, HeartbeatState};
 
@@ -229,6 +229,7 @@
 #[derive(Clone, Debug)]
 struct PendingCall {
     call: Call,
+    target: CallTarget,
     sent: Uptime,
     timeout: Uptime,
 }
@@ -331,12 +332,16 @@
         self.worker.as_ref().map(|worker| &worker.info)
     }
 
-    /// Returns the fencing token that calls to the worker carry. It rises with each life of the
-    /// worker, so that a call to the life before that arrives late has no effect on the next one.
+    /// Returns the fencing token of calls to the present worker.
     pub fn fencing_token(&self) -> u64 {
         self.token
     }
 
+    /// Returns which worker a call is meant for; `None` if it was abandoned and must not be sent.
+    pub fn call_target(&self, call: u64) -> Option<&CallTarget> {
+        self.calls.get(&call).map(|pending| &pending.target)
+    }
+
     /// Returns whether no run is queued or running.
     pub fn is_idle(&self) -> bool {
         self.runs.is_empty()
--- a/crates/core/src/pool/driver/answers.rs
+++ b/crates/core/src/pool/driver/answers.rs
@@ -3,9 +3,9 @@
 use super::super::{LEASE, MAX_CLOCK_DRIFT_PERCENT, Uptime};
 use super::lists::ListTime;
 use super::{
-    Action, Call, Driver, Duration, FLAKY_UNRESPONSIVE_TIME, LOSSY_PERIOD, MAX_CALL_TIMEOUT,
-    MIN_CALL_TIMEOUT, NotStarted, Note, PendingCall, Reply, TIMEOUT_FACTOR, TIMEOUT_MARGIN,
-    UNRESPONSIVE_CALLS, UNRESPONSIVE_LIST_INTERVAL, UNRESPONSIVE_TIME,
+    Action, Call, CallTarget, Driver, Duration, FLAKY_UNRESPONSIVE_TIME, LOSSY_PERIOD,
+    MAX_CALL_TIMEOUT, MIN_CALL_TIMEOUT, NotStarted, Note, PendingCall, Reply, TIMEOUT_FACTOR,
+    TIMEOUT_MARGIN, UNRESPONSIVE_CALLS, UNRESPONSIVE_LIST_INTERVAL, UNRESPONSIVE_TIME,
 };
 
 impl Driver {
@@ -17,10 +17,22 @@
         timeout: Duration,
         out: &mut Vec<Action>,
     ) {
+        let worker = match &call {
+            Call::Identify { worker } => worker,
+            Call::Start { .. } | Call::Stop { .. } | Call::List { .. } => match &self.worker {
+                Some(worker) => &worker.id,
+                None => return,
+            },
+        };
+        let target = CallTarget {
+            worker: worker.clone(),
+            token: self.token,
+        };
         let id = self.next_call;
         self.next_call += 1;
         let pending = PendingCall {
             call: call.clone(),
+            target,
             sent: now,
             timeout: now + timeout,
         };
--- a/crates/core/src/pool/driver/call.rs
+++ b/crates/core/src/pool/driver/call.rs
@@ -43,6 +43,16 @@
     },
 }
 
+/// The worker that a call is meant for, as it was known when the call was decided.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallTarget {
+    /// The worker's id. Another worker does not execute the call.
+    pub worker: Name,
+    /// Fencing token, which rises with each life of the worker, so that a call to the life before
+    /// that arrives late has no effect on the next one.
+    pub token: u64,
+}
+
 /// A running run in the answer to [`Call::List`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RunningRow {
--- a/crates/core/src/pool/driver/worker.rs
+++ b/crates/core/src/pool/driver/worker.rs
@@ -451,8 +451,6 @@
     }
 
     fn drop_calls(&mut self, out: &mut Vec<Action>) {
-        // One that was not sent yet would carry the id and the token of the next incarnation.
-        out.retain(|action| !matches!(action, Action::Call(id, _) if self.calls.contains_key(id)));
         for (id, _) in std::mem::take(&mut self.calls) {
             out.push(Action::DropCall(id));
         }
--- a/crates/core/tests/pool_driver_next_life.rs
+++ b/crates/core/tests/pool_driver_next_life.rs
@@ -116,7 +116,7 @@
     assert_eq!(call, Call::Stop { run: run(1, 1) });
     harness.answer(stop, Reply::Stopped);
     harness.advance(5 * MS);
-    for _ in 0..3 {
+    while harness.ended(run(1, 2)).is_none() {
         answer_list_of(&mut harness, 9, &[]);
         harness.advance(5 * MS);
     }
--- a/crates/core/tests/support/driver.rs
+++ b/crates/core/tests/support/driver.rs
@@ -130,13 +130,16 @@
         }));
     }
 
-    /// Returns the newest matching call among the actions that were not taken yet.
+    /// Returns the newest matching call that was not abandoned or answered, among the actions that
+    /// were not taken yet.
     pub fn last_call<F>(&self, matching: F) -> Option<(u64, Call)>
     where
         F: Fn(&Call) -> bool,
     {
         self.out.iter().rev().find_map(|action| match action {
-            Action::Call(id, call) if matching(call) => Some((*id, call.clone())),
+            Action::Call(id, call) if matching(call) && self.driver.call_target(*id).is_some() => {
+                Some((*id, call.clone()))
+            }
             _ => None,
         })
     }
