An entry that waits for a job itself yields it only after the entry it waits for

What callers could see: a task runs twice at once after a job was sent a third time. Cause: an entry that had asked another to yield a job, and was asked for that job by a third, had no runs of it and answered at once that it was yielded, while the first could still run it.

Change: a job that is removed while another entry is asked for it is yielded only when that entry has yielded it or its runs have ended. Requests to yield are repeated on a new link, since the earlier link may have lost them.

--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -57,6 +57,9 @@
     /// Jobs that other entries asked for, with the entry to notify once no run of the job is left
     /// here.
     yield_requests: Vec<(JobId, Name)>,
+    /// Jobs that were removed here while another entry was asked to yield them, with that entry. They
+    /// are yielded to others only after it.
+    awaited: IndexMap<JobId, Name>,
     /// Highest attempt of each job that was removed while runs were left. A resubmitted job uses
     /// higher ones.
     past_attempts: IndexMap<JobId, u32>,
@@ -85,6 +88,7 @@
             waiting: BTreeSet::new(),
             stopping: IndexMap::new(),
             yield_requests: Vec::new(),
+            awaited: IndexMap::new(),
             past_attempts: IndexMap::new(),
             announced_waiting: 0,
             jobs_left_waiting: false,
@@ -248,7 +252,8 @@
 
     /// Returns what delays the start of the job. Asks the entry that may still run it to yield it.
     fn hold_for(&mut self, id: JobId, out: &mut Vec<Action>) -> Hold {
-        if let Some(entry) = self.owners.owner(id).cloned() {
+        let awaited = self.awaited.swap_remove(&id);
+        if let Some(entry) = self.owners.owner(id).cloned().or(awaited) {
             out.push(Action::Peer(entry.clone(), Peer::Yield { job: id }));
             return Hold::Yield(entry);
         }
@@ -345,6 +350,9 @@
             return;
         };
         self.waiting.remove(&job.rank);
+        if let Hold::Yield(entry) = &job.hold {
+            self.awaited.insert(id, entry.clone());
+        }
         let mut highest_attempt = 0;
         let mut has_runs = false;
         for task in &job.tasks {
@@ -422,6 +430,16 @@
             }
             self.release(now, id, out);
         }
+        let lost: Vec<JobId> = self
+            .awaited
+            .iter()
+            .filter(|(_, entry)| self.owners.has_certainly_ended(now, entry))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in lost {
+            self.awaited.swap_remove(&id);
+            self.finish_stopping(now, id, out);
+        }
     }
 
     /// Makes a held job ready, unless earlier runs of it are still being stopped here.
@@ -442,7 +460,8 @@
     /// Once no run of a removed job is left, notifies the entries that wait for it and releases the
     /// job if it was resubmitted here.
     fn finish_stopping(&mut self, now: Uptime, id: JobId, out: &mut Vec<Action>) {
-        if self.stopping.keys().any(|run| run.task.job == id) {
+        let has_runs = self.stopping.keys().any(|run| run.task.job == id);
+        if has_runs || self.awaited.contains_key(&id) {
             return;
         }
         if !self.jobs.contains_key(&id) {
--- a/crates/core/src/pool/scheduler/peers.rs
+++ b/crates/core/src/pool/scheduler/peers.rs
@@ -11,14 +11,19 @@
         self.owners.set_announce_interval(interval);
     }
 
-    /// Handles a new link to another entry: announces all open jobs, since announcements may have
-    /// been lost with an earlier link.
+    /// Handles a new link to another entry: announces all open jobs and repeats the requests to yield,
+    /// since both may have been lost with an earlier link.
     pub fn peer_up(&mut self, entry: &Name, out: &mut Vec<Action>) {
         self.owners.link_up(entry);
         let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
         if !jobs.is_empty() {
             out.push(Action::Peer(entry.clone(), Peer::JobsStarted { jobs }));
         }
+        let hold = Hold::Yield(entry.clone());
+        let held = self.jobs.iter().filter(|(_, job)| job.hold == hold);
+        let awaited = self.awaited.iter().filter(|(_, other)| *other == entry);
+        let asked = held.map(|(id, _)| *id).chain(awaited.map(|(id, _)| *id));
+        out.extend(asked.map(|job| Action::Peer(entry.clone(), Peer::Yield { job })));
     }
 
     /// Handles the loss of the link to another entry.
@@ -36,6 +41,9 @@
                 let hold = Hold::Yield(entry.clone());
                 if self.jobs.get(&job).is_some_and(|open| open.hold == hold) {
                     self.release(now, job, out);
+                } else if self.awaited.get(&job) == Some(entry) {
+                    self.awaited.swap_remove(&job);
+                    self.finish_stopping(now, job, out);
                 }
             }
             Peer::Cancel { job } => {
