A run that an incomplete list leaves out has not ended

An answer to a list call without the list of running runs was read as an empty list, and a row that cannot be parsed was left out, and each run that was not in the list ended and was started elsewhere, while it may go on under its lease. Found by reading; no worker was seen to send such an answer. The new checks were not run on the code before.

--- a/crates/core/src/pool/driver/answers.rs
+++ b/crates/core/src/pool/driver/answers.rs
@@ -1,7 +1,7 @@
 //! Calls to the worker: their time-outs, their answers, and what it means if there is none.
 
 use super::super::{LEASE, MAX_CLOCK_DRIFT_PERCENT, Uptime};
-use super::lists::ListTime;
+use super::lists::ListSource;
 use super::{
     Action, Call, CallTarget, Driver, Duration, FLAKY_UNRESPONSIVE_TIME, LOSSY_PERIOD,
     MAX_CALL_TIMEOUT, MIN_CALL_TIMEOUT, NotStarted, Note, PendingCall, Reply, TIMEOUT_FACTOR,
@@ -139,14 +139,16 @@
                 Reply::Lists {
                     start_time_ms,
                     running,
+                    is_complete,
                     ended,
                 },
             ) => {
-                let requested = ListTime {
+                let source = ListSource {
                     requested: pending.sent,
                     clock_ms,
+                    is_complete,
                 };
-                self.on_lists(now, requested, start_time_ms, &running, &ended, out);
+                self.on_lists(now, source, start_time_ms, &running, &ended, out);
             }
             (Call::Start { run, .. }, _) => self.on_start_unanswered(now, run, pending.sent, out),
             (Call::List { .. } | Call::Identify { .. }, _) => {}
--- a/crates/core/src/pool/driver/call.rs
+++ b/crates/core/src/pool/driver/call.rs
@@ -103,6 +103,8 @@
         start_time_ms: Option<u64>,
         /// The running runs.
         running: Vec<RunningRow>,
+        /// Whether `running` holds all of them. It does not if a row cannot be parsed.
+        is_complete: bool,
         /// The runs that ended after [`Call::List`]'s `last_end_number`.
         ended: Vec<EndedRow>,
     },
--- a/crates/core/src/pool/driver/lists.rs
+++ b/crates/core/src/pool/driver/lists.rs
@@ -23,11 +23,14 @@
 /// Minimum time between two messages to the entry that a run is stalled.
 const STALL_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// When a list was requested, and the worker's clock in milliseconds that its answer states.
+/// When a list was requested, and what its answer states beside the runs.
 #[derive(Clone, Copy)]
-pub(super) struct ListTime {
+pub(super) struct ListSource {
     pub(super) requested: Uptime,
+    /// The worker's clock in milliseconds.
     pub(super) clock_ms: Option<u64>,
+    /// Whether the list holds all running runs.
+    pub(super) is_complete: bool,
 }
 
 /// Returns the run time after which an entry is first notified that a run is behind.
@@ -104,7 +107,7 @@
     pub(super) fn on_lists(
         &mut self,
         now: Uptime,
-        time: ListTime,
+        source: ListSource,
         start_time_ms: Option<u64>,
         running: &[RunningRow],
         ended: &[EndedRow],
@@ -117,7 +120,7 @@
             && start_time_ms != worker.start_time_ms
             && worker.start_time_ms != 0
         {
-            self.next_life(now, start_time_ms, time.clock_ms, out);
+            self.next_life(now, start_time_ms, source.clock_ms, out);
             return;
         }
         worker.listed = true;
@@ -133,7 +136,9 @@
         for row in running {
             self.on_running(now, row, out);
         }
-        self.resolve_absent(now, time, running, out);
+        if source.is_complete {
+            self.resolve_absent(now, source, running, out);
+        }
     }
 
     /// Handles an ended run. Shortly after the start of this process the ends of unknown runs are
@@ -219,7 +224,7 @@
     fn resolve_absent(
         &mut self,
         now: Uptime,
-        time: ListTime,
+        source: ListSource,
         running: &[RunningRow],
         out: &mut Vec<Action>,
     ) {
@@ -234,11 +239,11 @@
                 };
                 let is_too_late = run.state == State::Unknown
                     && run.start_deadline > 0
-                    && time
+                    && source
                         .clock_ms
                         .is_some_and(|clock| clock > run.start_deadline);
                 // Another attempt, of a start that was carried out late, is stopped first.
-                (is_too_late || since.is_some_and(|since| since < time.requested))
+                (is_too_late || since.is_some_and(|since| since < source.requested))
                     && !running.iter().any(|row| row.run.task == id.task)
             })
             .map(|(id, _)| *id)
--- a/crates/core/tests/pool_driver_next_life.rs
+++ b/crates/core/tests/pool_driver_next_life.rs
@@ -37,6 +37,7 @@
     Reply::Lists {
         start_time_ms: Some(start_time_ms),
         running,
+        is_complete: true,
         ended,
     }
 }
--- a/crates/core/tests/pool_incarnations.rs
+++ b/crates/core/tests/pool_incarnations.rs
@@ -61,6 +61,7 @@
     Reply::Lists {
         start_time_ms: Some(start_time_ms),
         running,
+        is_complete: true,
         ended,
     }
 }
@@ -215,3 +216,30 @@
     answer_identify(&mut harness, lists_of(2));
     assert_eq!(harness.start_call(), None);
 }
+
+#[test]
+fn a_run_that_an_incomplete_list_leaves_out_has_not_ended() {
+    let mut harness = harness_with_run();
+    let (id, _) = harness_list_call(&mut harness);
+    let mut reply = lists(&[], &[]);
+    if let Reply::Lists { is_complete, .. } = &mut reply {
+        *is_complete = false;
+    }
+    harness.answer(id, reply);
+    assert_eq!(harness.ended(run(1, 1)), None);
+    let (id, _) = harness_list_call(&mut harness);
+    harness.answer(id, lists(&[], &[]));
+    assert_eq!(harness.ended(run(1, 1)), Some(RunEnd::Gone));
+}
+
+/// Returns the next list call, which is sent when the present one times out.
+fn harness_list_call(harness: &mut Harness) -> (u64, Call) {
+    for _ in 0..20 {
+        let list = harness.last_call(|call| matches!(call, Call::List { .. }));
+        if let Some(list) = list {
+            return list;
+        }
+        harness.advance(10 * MS);
+    }
+    panic!("no list call is sent");
+}
--- a/crates/core/tests/support/driver.rs
+++ b/crates/core/tests/support/driver.rs
@@ -79,6 +79,7 @@
     Reply::Lists {
         start_time_ms: None,
         running: running.iter().map(row).collect(),
+        is_complete: true,
         ended: ended.iter().map(end).collect(),
     }
 }
--- a/crates/core/tests/support/pool/worker.rs
+++ b/crates/core/tests/support/pool/worker.rs
@@ -241,6 +241,7 @@
         Reply::Lists {
             start_time_ms: Some(self.born),
             running: running.collect(),
+            is_complete: true,
             ended: self.ended.clone(),
         }
     }
