Test of a life that is called with the token of the one before

The present life of a worker is followed only once doubling has raised the token, since the call for its identity carries the token of the life that a late heartbeat named.

--- a/crates/core/tests/pool_lost_sight.rs
+++ b/crates/core/tests/pool_lost_sight.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use driver::{Harness, MS, heartbeat, needs, run};
-use rw_core::pool::driver::{Action, Call, Driver, HeartbeatState, Reply};
+use rw_core::pool::driver::{Action, Call, Driver, Heartbeat, HeartbeatState, Reply};
 use rw_core::pool::msg::ToAgent;
 
 /// A restarted agent of which the entry claims one run, without a worker.
@@ -120,3 +120,45 @@
     }
     assert_eq!(harness.driver.worker_id().map(|id| &**id), Some("w5"));
 }
+
+#[test]
+fn the_present_life_of_a_worker_is_followed_within_a_lease_after_a_late_heartbeat_of_a_life_before()
+{
+    let born = 1_800_000_000_000;
+    let hour_before = born - 3_600_000;
+    let mut harness = harness_with_claimed_run();
+    pass_time(&mut harness, 200 * MS);
+    let beat = |start_time_ms| Heartbeat {
+        id: "w1".into(),
+        ..heartbeat(start_time_ms, 1, HeartbeatState::Ready)
+    };
+    for start_time_ms in [hour_before, born] {
+        let beat = beat(start_time_ms);
+        harness
+            .driver
+            .on_heartbeat(harness.now, beat, &mut harness.out);
+    }
+    for _ in 0..50 {
+        // The present life has seen the token of the agent process before.
+        let is_accepted = harness.driver.fencing_token() >= born;
+        let calls: Vec<u64> = harness
+            .take_actions()
+            .into_iter()
+            .filter_map(|action| match action {
+                Action::Call(id, _) => Some(id),
+                _ => None,
+            })
+            .collect();
+        if is_accepted && !calls.is_empty() {
+            return;
+        }
+        for id in calls {
+            harness.answer(id, Reply::Fenced);
+        }
+        pass_time(&mut harness, 10 * MS);
+    }
+    panic!(
+        "token {} after 500 ms, {born} is needed",
+        harness.driver.fencing_token()
+    );
+}
