Stops are repeated on a new link to an agent

What callers could see: a job that came again waited until its deadline. Cause: runs that were being stopped were left out of the list that an agent gets on a new link, and their stops were not repeated, so their end was never known if the earlier link lost it.

--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -4,7 +4,7 @@
 
 use super::super::Uptime;
 use super::super::fleet::Need;
-use super::super::job::{EndEvidence, RunEnd, RunId};
+use super::super::job::{EndEvidence, Resources, RunEnd, RunId};
 use super::super::msg::{NotStarted, ToAgent, ToEntry};
 use super::super::owners::MAX_RUN_TIME_AFTER_LOSS;
 use super::super::seconds;
@@ -22,7 +22,8 @@
 const ATTEMPT_JUMP: u32 = 8;
 
 impl Scheduler {
-    /// Handles a new link to an agent: tells it which runs this entry still expects.
+    /// Handles a new link to an agent: tells it which runs this entry still expects, and repeats the
+    /// stops, which may have been lost with the earlier link.
     pub fn agent_up(&mut self, now: Uptime, name: &Name, out: &mut Vec<Action>) {
         self.fleet.link_up(now, name);
         let mut runs = Vec::new();
@@ -33,7 +34,17 @@
                 }
             }
         }
+        let stopping: Vec<RunId> = self
+            .stopping
+            .iter()
+            .filter(|(_, stopping)| stopping.worker == *name)
+            .map(|(run, _)| *run)
+            .collect();
+        runs.extend(stopping.iter().map(|run| (*run, Resources::default())));
         out.push(Action::Send(name.clone(), ToAgent::Resume { runs }));
+        for run in stopping {
+            out.push(Action::Send(name.clone(), ToAgent::Stop { run }));
+        }
         if self.announced_waiting > 0 {
             let tasks = self.announced_waiting;
             out.push(Action::Send(name.clone(), ToAgent::Waiting { tasks }));
