The end of the wait for a lost entry is logged

Cause: the owner of a held job was looked up where it had been forgotten when the job was taken in. It is taken from the job now.

--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -422,7 +422,8 @@
             .map(|(id, _)| *id)
             .collect();
         for id in released {
-            if let Some(entry) = self.owners.owner(id) {
+            let hold = self.jobs.get(&id).map(|job| &job.hold);
+            if let Some(Hold::Yield(entry)) = hold {
                 out.push(Action::Note(Note::OwnerLost {
                     job: id,
                     entry: entry.clone(),
