Agents: no claimed run hangs, and tokens rise with a proof only

A life has a token of its own until it answers. - A successor with another id and an earlier start time was taken for outdated while its predecessor was idle. It is asked like any other; pool_driver expects that now, and that its denial changes nothing. The test of the present life looks at the token of the calls instead of that of the present worker: a call for an identity has its own.

--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -206,6 +206,9 @@
     is_leaving: bool,
     /// Whether it has answered a call, which proves that it serves the worker's address.
     is_proven: bool,
+    /// Fencing token of the calls to it: its start time in Unix milliseconds, or more if a token was
+    /// as high before.
+    token: u64,
 }
 
 /// Another incarnation that sent a heartbeat and has not answered a call yet.
@@ -259,9 +262,8 @@
     /// Calls in flight, by number.
     calls: IndexMap<u64, PendingCall>,
     next_call: u64,
-    /// Fencing token of all calls to the present worker: its start time in Unix milliseconds, or
-    /// more if a token was as high before.
-    token: u64,
+    /// Fencing token of the last life of a worker that has answered.
+    last_token: u64,
     /// How far the token rises with the next refusal as too low.
     token_step: u64,
     /// When a call that extends the worker's lease was last sent.
@@ -305,7 +307,7 @@
             entries: IndexMap::new(),
             calls: IndexMap::new(),
             next_call: 1,
-            token: 0,
+            last_token: 0,
             token_step: 1,
             last_renewal: now,
             unanswered: 0,
@@ -334,7 +336,9 @@
 
     /// Returns the fencing token of calls to the present worker.
     pub fn fencing_token(&self) -> u64 {
-        self.token
+        self.worker
+            .as_ref()
+            .map_or(self.last_token, |worker| worker.token)
     }
 
     /// Returns which worker a call is meant for; `None` if it was abandoned and must not be sent.
--- a/crates/core/src/pool/driver/answers.rs
+++ b/crates/core/src/pool/driver/answers.rs
@@ -17,16 +17,21 @@
         timeout: Duration,
         out: &mut Vec<Action>,
     ) {
-        let worker = match &call {
-            Call::Identify { worker } => worker,
-            Call::Start { .. } | Call::Stop { .. } | Call::List { .. } => match &self.worker {
-                Some(worker) => &worker.id,
-                None => return,
+        let Some(present) = &self.worker else { return };
+        let target = match (&call, &self.candidate) {
+            (Call::Identify { worker }, Some(candidate)) => CallTarget {
+                worker: worker.clone(),
+                // A false heartbeat must not raise the token that the present worker has seen.
+                token: if present.is_proven {
+                    present.token
+                } else {
+                    candidate.heartbeat.start_time_ms
+                },
+            },
+            _ => CallTarget {
+                worker: present.id.clone(),
+                token: present.token,
             },
-        };
-        let target = CallTarget {
-            worker: worker.clone(),
-            token: self.token,
         };
         let id = self.next_call;
         self.next_call += 1;
@@ -84,11 +89,14 @@
     /// agent process sent, or a late call to a life that began later by a clock that was set back
     /// since. What is known of this life may be out of date, so nothing is started before a list.
     fn on_fenced(&mut self, now: Uptime, pending: &PendingCall, out: &mut Vec<Action>) {
-        self.token = self.token.saturating_add(self.token_step);
-        self.token_step = self.token_step.saturating_mul(2);
         if let Some(worker) = &mut self.worker {
+            worker.token = worker.token.saturating_add(self.token_step);
             worker.listed = false;
+            if worker.is_proven {
+                self.last_token = worker.token;
+            }
         }
+        self.token_step = self.token_step.saturating_mul(2);
         if let Call::Start { run, .. } = pending.call {
             self.refuse(run, NotStarted::Unanswered, out);
         } else {
--- a/crates/core/src/pool/driver/lists.rs
+++ b/crates/core/src/pool/driver/lists.rs
@@ -20,6 +20,9 @@
 const STALL_TIME: Duration = Duration::from_millis(150);
 /// Progress in percent whose usual time must pass without progress before a run is stalled.
 const STALL_PERCENT: f64 = 15.0;
+/// Time without a worker after which claimed runs end; longer than its lease, and than the interval
+/// between heartbeats.
+const NO_WORKER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Minimum time between two messages to the entry that a run is stalled.
 const STALL_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -124,12 +127,12 @@
             return;
         }
         worker.listed = true;
-        worker.is_proven = true;
         for row in ended {
             if row.number > worker.last_end_number {
                 worker.last_end_number = row.number;
             }
         }
+        self.note_proof();
         for row in ended {
             self.on_ended(now, row, out);
         }
@@ -261,9 +264,17 @@
         }
     }
 
-    /// Ends all runs of an unresponsive worker once its lease must have expired.
+    /// Ends all runs of an unresponsive worker once its lease must have expired, and those that
+    /// entries claimed at this process if no worker was found for long.
     pub(super) fn end_runs_of_expired_lease(&mut self, now: Uptime, out: &mut Vec<Action>) {
-        if !self.unresponsive || now < self.last_renewal + WORKER_LEASE + LEASE_EXPIRY_MARGIN {
+        let wait = if self.worker.is_none() {
+            NO_WORKER_TIMEOUT
+        } else if self.unresponsive {
+            WORKER_LEASE + LEASE_EXPIRY_MARGIN
+        } else {
+            return;
+        };
+        if now < self.last_renewal + wait {
             return;
         }
         let runs: Vec<RunId> = self.runs.keys().copied().collect();
--- a/crates/core/src/pool/driver/worker.rs
+++ b/crates/core/src/pool/driver/worker.rs
@@ -147,7 +147,9 @@
         out: &mut Vec<Action>,
     ) -> HeartbeatOutcome {
         let outcome = match &self.worker {
-            Some(worker) if heartbeat.start_time_ms < worker.start_time_ms => {
+            Some(worker)
+                if heartbeat.start_time_ms < worker.start_time_ms && heartbeat.id == worker.id =>
+            {
                 HeartbeatOutcome::Outdated
             }
             Some(worker)
@@ -241,9 +243,7 @@
             self.worker_gone(now, "another incarnation serves its address", out);
         }
         self.set_worker(now, heartbeat, out);
-        if let Some(worker) = &mut self.worker {
-            worker.is_proven = true;
-        }
+        self.note_proof();
         self.retry_stops(now, out);
     }
 
@@ -309,7 +309,6 @@
 
     /// Sets the worker of a heartbeat, which gets no runs before it has answered a list call.
     fn set_worker(&mut self, now: Uptime, heartbeat: Heartbeat, out: &mut Vec<Action>) {
-        self.raise_token(heartbeat.start_time_ms);
         out.push(Action::Note(Note::WorkerFound {
             id: heartbeat.id.clone(),
             start_time_ms: heartbeat.start_time_ms,
@@ -330,6 +329,7 @@
             listed: false,
             is_leaving: false,
             is_proven: false,
+            token: heartbeat.start_time_ms,
         });
         self.pace = 0.0;
         self.failure_rate = 0.0;
@@ -349,7 +349,6 @@
         out: &mut Vec<Action>,
     ) {
         self.keep_runs_for_next_life(now, out);
-        self.raise_token(start_time_ms);
         self.candidate = None;
         if let Some(worker) = &mut self.worker {
             worker.start_time_ms = start_time_ms;
@@ -359,16 +358,25 @@
             worker.last_end_number = 0;
             worker.listed = false;
             worker.is_leaving = false;
+            worker.is_proven = false;
+            worker.token = start_time_ms;
             out.push(Action::Note(Note::WorkerFound {
                 id: worker.id.clone(),
                 start_time_ms,
             }));
         }
+        self.note_proof();
     }
 
-    /// Sets the token of the calls to a life of the worker that began at this time.
-    fn raise_token(&mut self, start_time_ms: u64) {
-        self.token = start_time_ms.max(self.token + u64::from(self.token > 0));
+    /// Records that the present life of the worker has answered. Its token is above those of the lives
+    /// before, also if the wall clock of its machine stepped back.
+    pub(super) fn note_proof(&mut self) {
+        let Some(worker) = self.worker.as_mut().filter(|worker| !worker.is_proven) else {
+            return;
+        };
+        worker.is_proven = true;
+        worker.token = worker.token.max(self.last_token.saturating_add(1));
+        self.last_token = worker.token;
         self.token_step = 1;
     }
 
@@ -454,5 +462,8 @@
         for (id, _) in std::mem::take(&mut self.calls) {
             out.push(Action::DropCall(id));
         }
+        for run in self.runs.values_mut() {
+            run.stop_in_flight = false;
+        }
     }
 }
