--- a/crates/core/tests/pool_driver.rs
+++ b/crates/core/tests/pool_driver.rs
@@ -3,12 +3,8 @@
 #[path = "support/driver.rs"]
 mod driver;
 
-use std::time::Duration;
-
 use driver::{Harness, MS, entry, heartbeat, lists, needs, run};
-use rw_core::pool::driver::{
-    Action, Call, Driver, HeartbeatOutcome, HeartbeatState, Reply, StartRefusal,
-};
+use rw_core::pool::driver::{Action, Call, HeartbeatOutcome, HeartbeatState, Reply, StartRefusal};
 use rw_core::pool::job::{RunEnd, RunId};
 use rw_core::pool::msg::{NotStarted, ToAgent, ToEntry};
 
@@ -116,13 +112,8 @@
 
 #[test]
 fn a_restarted_agent_keeps_claimed_runs_and_stops_the_others() {
-    let now = Duration::from_secs(10);
-    let mut harness = Harness {
-        driver: Driver::new(now, Duration::from_secs(1)),
-        now,
-        out: Vec::new(),
-        clock_ms: 50_000,
-    };
+    let mut harness = Harness::without_worker();
+    let now = harness.now;
     harness.driver.on_heartbeat(
         now,
         heartbeat(1, 9, HeartbeatState::Ready),
@@ -152,13 +143,8 @@
 
 #[test]
 fn a_restarted_agent_does_not_renew_the_lease_of_unclaimed_runs() {
-    let now = Duration::from_secs(10);
-    let mut harness = Harness {
-        driver: Driver::new(now, Duration::from_secs(1)),
-        now,
-        out: Vec::new(),
-        clock_ms: 50_000,
-    };
+    let mut harness = Harness::without_worker();
+    let now = harness.now;
     harness.driver.on_heartbeat(
         now,
         heartbeat(1, 9, HeartbeatState::Ready),
--- a/crates/core/tests/pool_incarnations.rs
+++ b/crates/core/tests/pool_incarnations.rs
@@ -7,9 +7,7 @@
 use std::time::Duration;
 
 use driver::{Harness, MS, heartbeat, lists, needs, run};
-use rw_core::pool::driver::{
-    Action, Call, Driver, Heartbeat, HeartbeatOutcome, HeartbeatState, Reply,
-};
+use rw_core::pool::driver::{Action, Call, Heartbeat, HeartbeatOutcome, HeartbeatState, Reply};
 use rw_core::pool::job::{RunEnd, RunId};
 use rw_core::pool::msg::{NotStarted, ToAgent};
 
@@ -152,13 +150,8 @@
 
 #[test]
 fn a_denied_identity_at_a_restarted_agent_ends_no_claimed_run() {
-    let now = Duration::from_secs(10);
-    let mut harness = Harness {
-        driver: Driver::new(now, Duration::from_secs(1)),
-        now,
-        out: Vec::new(),
-        clock_ms: 50_000,
-    };
+    let mut harness = Harness::without_worker();
+    let now = harness.now;
     harness
         .driver
         .entry_up(now, driver::entry(1), &mut harness.out);
--- a/crates/core/tests/pool_lost_sight.rs
+++ b/crates/core/tests/pool_lost_sight.rs
@@ -6,18 +6,13 @@
 use std::time::Duration;
 
 use driver::{Harness, MS, heartbeat, needs, run};
-use rw_core::pool::driver::{Action, Call, Driver, Heartbeat, HeartbeatState, Reply};
+use rw_core::pool::driver::{Action, Call, Heartbeat, HeartbeatState, Reply};
 use rw_core::pool::msg::ToAgent;
 
 /// A restarted agent of which the entry claims one run, without a worker.
 fn harness_with_claimed_run() -> Harness {
-    let now = Duration::from_secs(10);
-    let mut harness = Harness {
-        driver: Driver::new(now, Duration::from_secs(1)),
-        now,
-        out: Vec::new(),
-        clock_ms: 50_000,
-    };
+    let mut harness = Harness::without_worker();
+    let now = harness.now;
     harness
         .driver
         .entry_up(now, driver::entry(1), &mut harness.out);
--- a/crates/core/tests/support/driver.rs
+++ b/crates/core/tests/support/driver.rs
@@ -85,16 +85,22 @@
 }
 
 impl Harness {
-    /// Creates an agent with one linked entry and a worker of four cores that has answered a list
-    /// call.
-    pub fn new() -> Self {
+    /// Creates an agent that has just started, without a worker.
+    pub fn without_worker() -> Self {
         let now = Duration::from_secs(10);
-        let mut harness = Self {
+        Self {
             driver: Driver::new(now, Duration::from_secs(1)),
             now,
             out: Vec::new(),
             clock_ms: 50_000,
-        };
+        }
+    }
+
+    /// Creates an agent with one linked entry and a worker of four cores that has answered a list
+    /// call.
+    pub fn new() -> Self {
+        let mut harness = Self::without_worker();
+        let now = harness.now;
         harness.driver.on_heartbeat(
             now,
             heartbeat(1, 1, HeartbeatState::Ready),
