--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -21,7 +21,7 @@
 
 use super::catalog::Queue;
 use super::fleet::Fleet;
-use super::job::{Job, JobId, RunId};
+use super::job::{Job, JobId, Resources, RunId};
 use super::msg::{Peer, ToAgent, WorkerInfo};
 use super::owners::Owners;
 use super::{MAX_TIME, Uptime, scaled};
@@ -41,6 +41,7 @@
 #[derive(Debug)]
 struct StoppingRun {
     worker: Name,
+    needs: Resources,
 }
 
 /// The scheduler of pooled jobs at one entry.
@@ -361,8 +362,11 @@
                 has_runs = true;
                 let run = job.run(task);
                 out.push(Action::Send(worker.clone(), ToAgent::Stop { run }));
-                let worker = worker.clone();
-                self.stopping.insert(run, StoppingRun { worker });
+                let stopping = StoppingRun {
+                    worker: worker.clone(),
+                    needs: job.step(task).needs,
+                };
+                self.stopping.insert(run, stopping);
             }
         }
         if has_runs {
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -34,15 +34,15 @@
                 }
             }
         }
-        let stopping: Vec<RunId> = self
+        let stopping: Vec<(RunId, Resources)> = self
             .stopping
             .iter()
             .filter(|(_, stopping)| stopping.worker == *name)
-            .map(|(run, _)| *run)
+            .map(|(run, stopping)| (*run, stopping.needs))
             .collect();
-        runs.extend(stopping.iter().map(|run| (*run, Resources::default())));
+        runs.extend(&stopping);
         out.push(Action::Send(name.clone(), ToAgent::Resume { runs }));
-        for run in stopping {
+        for (run, _) in stopping {
             out.push(Action::Send(name.clone(), ToAgent::Stop { run }));
         }
         if self.announced_waiting > 0 {
