--- a/crates/core/tests/pool_lost_owner.rs
+++ b/crates/core/tests/pool_lost_owner.rs
@@ -235,3 +235,18 @@
         "the agent is not asked for its end again"
     );
 }
+
+#[test]
+fn a_run_that_is_being_stopped_keeps_its_resources_on_a_new_link() {
+    let mut entry = Entry::new("a");
+    entry.submit();
+    entry.scheduler.disconnected(entry.now, 1, &mut entry.out);
+    let agent = entry.agent.clone();
+    entry.scheduler.agent_down(entry.now, &agent);
+    entry.scheduler.agent_up(entry.now, &agent, &mut entry.out);
+    let needs = entry.out.iter().rev().find_map(|action| match action {
+        Action::Send(_, ToAgent::Resume { runs }) => runs.first().map(|(_, needs)| *needs),
+        _ => None,
+    });
+    assert_eq!(needs, Some(cpu(1000)));
+}
