Interfaces of the parts to come: shares, look-ahead, evacuated domains, limits

Cause: several parts are built side by side and would otherwise meet in the same enums, settings and state. Change: message types of load reports, forecasts and reservations beside their modules, wrapped in the pool's messages; changes and state for evacuated failure domains; limits of the machine and the factor for other racks read from the platform's settings. Receivers ignore the new messages so far.

--- a/crates/agent/src/pooled.rs
+++ b/crates/agent/src/pooled.rs
@@ -21,7 +21,7 @@
 use rw_host::pooled::{
     METRICS_TAG, PooledDaemon, ReloadableSettings, ThreadEvent, answer_ask, metrics_response, start,
 };
-use rw_host::settings::NodeSettings;
+use rw_host::settings::{MachineLimits, NodeSettings};
 use rw_host::{clock, logging};
 use thiserror::Error;
 
@@ -73,6 +73,8 @@
     pub worker: SocketAddr,
     /// Longest lease that the worker grants.
     pub max_lease: Duration,
+    /// What the machine grants this process.
+    pub limits: MachineLimits,
     /// The worker's protocol.
     pub protocol: Box<dyn WorkerProtocol>,
     /// Reloads the settings; called every second and when a reload is requested. Returns `None` if
--- a/crates/control/src/pooled.rs
+++ b/crates/control/src/pooled.rs
@@ -8,7 +8,7 @@
 use rw_core::ids::{Digest, Name};
 use rw_core::raft::{Raft, VoterId};
 use rw_host::http;
-use rw_host::settings::{BoundSockets, NodeSettings};
+use rw_host::settings::{BoundSockets, MachineLimits, NodeSettings};
 
 use crate::event_loop::{self, ControlError, Peering, StartedNode};
 use crate::operations::{Operations, OperatorProtocol};
@@ -28,6 +28,8 @@
     /// Names of the initial voters, the same set at each of them. Empty unless the whole cluster
     /// starts for the first time.
     pub initial_voters: Vec<Name>,
+    /// What the machine grants this process.
+    pub limits: MachineLimits,
     /// The operators' protocol.
     pub protocol: Arc<dyn OperatorProtocol>,
     /// Blake3 hashes, in hexadecimal, of the operators' tokens for redwingwick's own interface.
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -137,6 +137,9 @@
     pub shards: Vec<Shard>,
     /// The published catalogue of pooled work, if any. Its version never decreases.
     pub catalog: Option<Arc<Catalog>>,
+    /// Failure domains whose workers get no new work, with the revision at which they were
+    /// evacuated.
+    pub evacuated: IndexMap<Name, u64>,
 }
 
 impl Default for ClusterState {
@@ -163,6 +166,7 @@
             forgotten: IndexMap::new(),
             shards: Vec::new(),
             catalog: None,
+            evacuated: IndexMap::new(),
         }
     }
 }
@@ -239,6 +243,16 @@
         /// Catalogue to publish.
         catalog: Arc<Catalog>,
     },
+    /// Stops giving new work to the workers of a failure domain.
+    Evacuate {
+        /// Name of the failure domain.
+        domain: Name,
+    },
+    /// Resumes giving work to the workers of an evacuated failure domain.
+    Return {
+        /// Name of the failure domain.
+        domain: Name,
+    },
 }
 
 impl Change {
@@ -359,7 +373,11 @@
             Change::Drain { worker } | Change::Undrain { worker } => {
                 self.drained.get(worker).copied().unwrap_or(0)
             }
-            Change::Forget { .. } | Change::Place { .. } | Change::Publish { .. } => 0,
+            Change::Forget { .. }
+            | Change::Place { .. }
+            | Change::Publish { .. }
+            | Change::Evacuate { .. }
+            | Change::Return { .. } => 0,
         }
     }
 
@@ -390,6 +408,7 @@
             Change::Undrain { worker } => check_exists(&self.drained, worker, "drained worker"),
             Change::Place { shards } => self.check_placement(shards),
             Change::Publish { catalog } => catalog.check().map_err(|e| e.to_string()),
+            Change::Evacuate { domain } | Change::Return { domain } => check_name(domain),
         }
     }
 
@@ -468,6 +487,12 @@
             }
             Change::Place { shards } => self.place(shards),
             Change::Publish { catalog } => self.catalog = Some(catalog),
+            Change::Evacuate { domain } => {
+                self.evacuated.entry(domain).or_insert(changed_at);
+            }
+            Change::Return { domain } => {
+                self.evacuated.shift_remove(&domain);
+            }
         }
     }
 
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -13,10 +13,12 @@
 pub mod driver;
 pub mod fleet;
 pub mod job;
+pub mod lookahead;
 pub mod msg;
 pub mod owners;
 pub mod reach;
 pub mod scheduler;
+pub mod shares;
 pub mod subset;
 
 use std::time::Duration;
--- a/crates/core/src/pool/driver/owners.rs
+++ b/crates/core/src/pool/driver/owners.rs
@@ -114,6 +114,7 @@
             }
             ToAgent::Resume { runs } => self.on_resume(now, &owner, runs, out),
             ToAgent::Waiting { tasks } => entry.waiting_jobs = tasks,
+            ToAgent::Reserve(_) | ToAgent::Unreserve { .. } => {}
         }
         self.request_list(now, out);
         self.report(now, out);
--- a/crates/core/src/pool/msg.rs
+++ b/crates/core/src/pool/msg.rs
@@ -3,7 +3,9 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-use super::job::{EndEvidence, JobId, Resources, RunEnd, RunId};
+use super::job::{EndEvidence, JobId, Resources, RunEnd, RunId, TaskId};
+use super::lookahead::{Forecast, Reservation};
+use super::shares::LoadReport;
 use crate::ids::Name;
 
 /// A message about pooled jobs.
@@ -25,11 +27,15 @@
             Self::ToAgent(ToAgent::Stop { .. }) => "pool-stop",
             Self::ToAgent(ToAgent::Resume { .. }) => "pool-resume",
             Self::ToAgent(ToAgent::Waiting { .. }) => "pool-waiting",
+            Self::ToAgent(ToAgent::Reserve(_) | ToAgent::Unreserve { .. }) => "pool-reserve",
             Self::ToEntry(ToEntry::Worker(_)) => "pool-worker",
             Self::ToEntry(ToEntry::Capacity(_)) => "pool-room",
             Self::ToEntry(ToEntry::Ended { .. }) => "pool-ended",
             Self::ToEntry(ToEntry::Refused { .. }) => "pool-refused",
             Self::ToEntry(ToEntry::Behind { .. }) => "pool-behind",
+            Self::ToEntry(ToEntry::Forecast(_)) => "pool-forecast",
+            Self::ToEntry(ToEntry::Reserved { .. }) => "pool-reserved",
+            Self::Peer(Peer::Load(_)) => "pool-load",
             Self::Peer(_) => "pool-peer",
         }
     }
@@ -56,6 +62,13 @@
         /// Number of jobs with waiting tasks.
         tasks: u32,
     },
+    /// Reserves room for a large task, or renews the reservation.
+    Reserve(Reservation),
+    /// Gives up the reservation for a task.
+    Unreserve {
+        /// The task.
+        task: TaskId,
+    },
 }
 
 /// A request to start one run.
@@ -151,6 +164,15 @@
         /// Expected time to its end in milliseconds; `None` if it makes no progress.
         left_ms: Option<u32>,
     },
+    /// Room that the worker is expected to have later.
+    Forecast(Forecast),
+    /// Reply to [`ToAgent::Reserve`].
+    Reserved {
+        /// The task.
+        task: TaskId,
+        /// Whether the room is reserved.
+        granted: bool,
+    },
 }
 
 /// Free capacity and health of a worker.
@@ -216,4 +238,11 @@
         /// The job.
         job: JobId,
     },
+    /// Reply to [`Peer::Cancel`]: no task of the job runs, and none will be started for it.
+    Cancelled {
+        /// The job.
+        job: JobId,
+    },
+    /// The sender's recent load.
+    Load(LoadReport),
 }
--- a/crates/core/src/pool/scheduler/peers.rs
+++ b/crates/core/src/pool/scheduler/peers.rs
@@ -71,6 +71,7 @@
                     self.abort(now, job, "cancelled by the caller", out);
                 }
             }
+            Peer::Cancelled { .. } | Peer::Load(_) => {}
         }
     }
 
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -92,6 +92,7 @@
             } => {
                 self.on_behind(now, name, run, (ran_ms, left_ms), out);
             }
+            ToEntry::Forecast(_) | ToEntry::Reserved { .. } => {}
         }
     }
 
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -23,7 +23,7 @@
 use rw_host::pooled::{
     METRICS_TAG, PooledDaemon, ReloadableSettings, ThreadEvent, answer_ask, metrics_response, start,
 };
-use rw_host::settings::NodeSettings;
+use rw_host::settings::{MachineLimits, NodeSettings};
 use rw_host::{clock, logging};
 use thiserror::Error;
 
@@ -95,6 +95,10 @@
     pub callers: SocketAddr,
     /// Address on which the entry listens for readiness checks.
     pub readiness: SocketAddr,
+    /// What the machine grants this process.
+    pub limits: MachineLimits,
+    /// Factor on the run time of a task outside the rack of its data, if it is known.
+    pub other_rack_factor: Option<f64>,
     /// The callers' protocol.
     pub protocol: Box<dyn CallerProtocol>,
     /// Reloads the settings; called every second and when a reload is requested. Returns `None` if
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -74,6 +74,19 @@
     pub cluster_secret: String,
 }
 
+/// What the machine grants one process. `None` where it is not known.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct MachineLimits {
+    /// Memory in MiB.
+    pub memory_mb: Option<u32>,
+    /// Number of file descriptors.
+    pub file_descriptors: Option<u32>,
+    /// Share of a processor core.
+    pub cpu_share: Option<f64>,
+    /// Bandwidth of its network link in Mbit/s.
+    pub link_mbps: Option<f64>,
+}
+
 /// Settings of the logger.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
