A worker that closes each connection is no longer called in a loop

Cause: a list call whose connection was closed without an answer was repeated at once. Change: a pause of 4 ms after such a call, doubled up to 32 ms until a call is answered.

--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -57,6 +57,12 @@
 /// As [`UNRESPONSIVE_TIME`], for a worker that recently left calls unanswered and answered others:
 /// a few lost calls in a row are then no sign that it does not run.
 const FLAKY_UNRESPONSIVE_TIME: Duration = Duration::from_millis(300);
+/// Pause after a list call whose connection was closed without an answer; doubles with each further
+/// one in a row, up to [`MAX_LIST_PAUSE`]. A worker that closes each connection at once would
+/// otherwise be called as fast as connections can be opened.
+const MIN_LIST_PAUSE: Duration = Duration::from_millis(4);
+/// Upper bound of that pause, well below the lease that the calls renew.
+const MAX_LIST_PAUSE: Duration = Duration::from_millis(32);
 /// Time between two list calls to an unresponsive worker.
 const UNRESPONSIVE_LIST_INTERVAL: Duration = Duration::from_millis(150);
 /// Time that entries have after an agent restart to claim runs found at the worker; unclaimed runs
@@ -275,6 +281,10 @@
     unresponsive: bool,
     /// Earliest time of the next list call while the worker is unresponsive.
     next_list: Uptime,
+    /// Number of list calls in a row whose connections were closed without an answer.
+    closed_lists: u32,
+    /// Earliest time of the next list call after such a call.
+    list_pause_until: Uptime,
     /// When the next report is due, unless something changes before; `None` if all are up to date.
     next_report: Option<Uptime>,
     /// Index of the entry that is first in the next round of reports.
@@ -314,6 +324,8 @@
             last_answer: now,
             unresponsive: false,
             next_list: now,
+            closed_lists: 0,
+            list_pause_until: now,
             next_report: None,
             next_entry: 0,
             undelivered_ends: IndexMap::new(),
--- a/crates/core/src/pool/driver/answers.rs
+++ b/crates/core/src/pool/driver/answers.rs
@@ -4,8 +4,9 @@
 use super::lists::ListSource;
 use super::{
     Action, Call, CallTarget, Driver, Duration, FLAKY_UNRESPONSIVE_TIME, LOSSY_PERIOD,
-    MAX_CALL_TIMEOUT, MIN_CALL_TIMEOUT, NotStarted, Note, PendingCall, Reply, TIMEOUT_FACTOR,
-    TIMEOUT_MARGIN, UNRESPONSIVE_CALLS, UNRESPONSIVE_LIST_INTERVAL, UNRESPONSIVE_TIME,
+    MAX_CALL_TIMEOUT, MAX_LIST_PAUSE, MIN_CALL_TIMEOUT, MIN_LIST_PAUSE, NotStarted, Note,
+    PendingCall, Reply, TIMEOUT_FACTOR, TIMEOUT_MARGIN, UNRESPONSIVE_CALLS,
+    UNRESPONSIVE_LIST_INTERVAL, UNRESPONSIVE_TIME,
 };
 
 impl Driver {
@@ -113,6 +114,7 @@
         out: &mut Vec<Action>,
     ) {
         self.unanswered = 0;
+        self.closed_lists = 0;
         self.last_answer = now;
         let lossy = self
             .last_lost_call
@@ -214,6 +216,11 @@
                     run.stop_in_flight = false;
                 }
             }
+            Call::List { .. } if now < pending.timeout => {
+                let pause = MIN_LIST_PAUSE * 2_u32.saturating_pow(self.closed_lists.min(8));
+                self.list_pause_until = now + pause.min(MAX_LIST_PAUSE);
+                self.closed_lists += 1;
+            }
             Call::List { .. } | Call::Identify { .. } => {}
         }
     }
--- a/crates/core/src/pool/driver/lists.rs
+++ b/crates/core/src/pool/driver/lists.rs
@@ -57,7 +57,7 @@
         if listed && !self.unresponsive && !self.runs.values().any(started) {
             return;
         }
-        if self.unresponsive && now < self.next_list {
+        if self.unresponsive && now < self.next_list || now < self.list_pause_until {
             return;
         }
         self.next_list = now + UNRESPONSIVE_LIST_INTERVAL;
--- a/crates/core/tests/pool_driver_unanswered.rs
+++ b/crates/core/tests/pool_driver_unanswered.rs
@@ -140,3 +140,24 @@
         "{deadlines:?}"
     );
 }
+
+/// Guards against calls to a worker that closes each connection at once, as fast as they can be
+/// opened.
+#[test]
+fn a_worker_that_closes_each_connection_gets_a_bounded_number_of_calls() {
+    let mut harness = Harness::new();
+    harness.start_confirmed(run(1, 1), 1000);
+    let mut calls = 0;
+    for _ in 0..100 {
+        harness.advance(MS);
+        while let Some((id, _)) = harness.last_call(|call| matches!(call, Call::List { .. })) {
+            calls += 1;
+            let now = harness.now;
+            harness
+                .driver
+                .on_reply(now, id, Reply::Unknown, None, &mut harness.out);
+            assert!(calls <= 16, "16 calls within 100 ms are enough");
+        }
+    }
+    assert!(calls >= 3, "the worker is still asked: {calls}");
+}
