Agents learn a worker's present speed from the progress of its runs

Cause: the pace moved only with ended runs and with runs that were already behind, a fifth of the way each. Change: module `driver/speed`. The rate of progress of at least three runs over the last 60 ms is compared with their estimates; if the median differs from the learned pace by a factor of 2 or more, the pace moves half of the way with a list, in both directions. An entry hears that a run is behind once its present rate says so, 60 ms after its start at the earliest, no longer only after it has run beyond its estimate. The report goes out before.

--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -11,6 +11,7 @@
 mod lists;
 mod note;
 mod owners;
+mod speed;
 mod starts;
 mod worker;
 
@@ -26,6 +27,8 @@
 
 pub use call::{Call, CallTarget, EndedRow, Reply, RunningRow, StartRefusal};
 pub use note::Note;
+use speed::Progress;
+
 pub use worker::{Heartbeat, HeartbeatOutcome, HeartbeatState};
 
 /// A call times out after this multiple of the mean response time plus a margin for the scheduling
@@ -152,8 +155,10 @@
     percent: u8,
     /// When the progress last rose.
     last_progress: Uptime,
+    /// Progress over the last observed window.
+    progress: Progress,
     /// Run time after which the entry is next notified that the run is behind its estimate.
-    behind_threshold: Duration,
+    next_behind_report: Duration,
     /// Earliest time of the next message to the entry that the run makes no progress.
     next_stall_report: Uptime,
     /// Whether the worker's pace was already updated from this run.
@@ -294,6 +299,8 @@
     /// Moving average of the natural logarithm of run time over estimate; above 0 is slow.
     pace: f32,
     pace_updated: Uptime,
+    /// When the pace was last moved by the progress of runs.
+    pace_stepped: Uptime,
     /// Moving average of the share of runs that fail, from 0 to 1.
     failure_rate: f32,
     /// Whether the process is shutting down.
@@ -331,6 +338,7 @@
             undelivered_ends: IndexMap::new(),
             pace: 0.0,
             pace_updated: now,
+            pace_stepped: now,
             failure_rate: 0.0,
             draining: false,
         }
--- a/crates/core/src/pool/driver/lists.rs
+++ b/crates/core/src/pool/driver/lists.rs
@@ -13,6 +13,9 @@
 const BEHIND_FACTOR: f64 = 1.4;
 /// Constant part of the time by which a run must exceed its estimate to be behind.
 const BEHIND_MARGIN: Duration = Duration::from_millis(40);
+/// Minimum run time before the entry is notified that a run is behind. The progress until then says
+/// too little.
+pub(super) const MIN_BEHIND_RUN_TIME: Duration = Duration::from_millis(60);
 /// The entry is notified again that a run is behind when its run time has grown by this factor.
 const BEHIND_REPORT_FACTOR: f64 = 1.4;
 /// A run is stalled when its progress has not risen for this long and for the usual time of
@@ -36,8 +39,8 @@
     pub(super) is_complete: bool,
 }
 
-/// Returns the run time after which an entry is first notified that a run is behind.
-pub(super) fn initial_behind_threshold(estimate: Duration) -> Duration {
+/// Returns the expected run time from which a run is behind.
+fn behind_threshold(estimate: Duration) -> Duration {
     estimate.mul_f64(BEHIND_FACTOR) + BEHIND_MARGIN
 }
 
@@ -137,7 +140,14 @@
             self.on_ended(now, row, out);
         }
         for row in running {
-            self.on_running(now, row, out);
+            self.on_running(now, row);
+        }
+        if self.learn_from_progress(now) {
+            // Entries weigh a move by the speeds of both workers.
+            self.report(now, out);
+        }
+        for row in running {
+            self.check_progress(now, row.run, out);
         }
         if source.is_complete {
             self.resolve_absent(now, source, running, out);
@@ -162,7 +172,7 @@
     }
 
     /// Handles a running run. An unknown one was started by an earlier agent process.
-    fn on_running(&mut self, now: Uptime, row: &RunningRow, out: &mut Vec<Action>) {
+    fn on_running(&mut self, now: Uptime, row: &RunningRow) {
         let Some(run) = self.runs.get_mut(&row.run) else {
             self.runs.insert(row.run, Run::adopted(now));
             return;
@@ -175,11 +185,7 @@
         if run.state != State::Running {
             return;
         }
-        if row.percent > run.percent {
-            run.percent = row.percent;
-            run.last_progress = now;
-        }
-        self.check_progress(now, row.run, out);
+        run.observe_progress(now, row.percent);
     }
 
     /// Notifies the owner when a run is behind its estimate or stalled.
@@ -187,20 +193,22 @@
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
+        if run.state != State::Running {
+            return;
+        }
         let ran = now.saturating_sub(run.started);
+        let left = run.time_left(now);
         let stalled = run.is_stalled(now);
         let due = if stalled {
             now >= run.next_stall_report
         } else {
-            ran >= run.behind_threshold
+            ran >= run.next_behind_report && ran + left >= behind_threshold(run.estimate)
         };
         if !due || !stalled && run.percent == 0 {
             return;
         }
-        run.behind_threshold = run.behind_threshold.max(ran.mul_f64(BEHIND_REPORT_FACTOR));
+        run.next_behind_report = ran.mul_f64(BEHIND_REPORT_FACTOR);
         run.next_stall_report = now + STALL_REPORT_INTERVAL;
-        let percent = f64::from(run.percent.max(1));
-        let left = ran.mul_f64((100.0 - percent).max(0.0) / percent);
         let left_ms = (!stalled).then(|| left.as_millis().min(u128::from(u32::MAX)) as u32);
         let msg = ToEntry::Behind {
             run: id,
--- a/crates/core/src/pool/driver/starts.rs
+++ b/crates/core/src/pool/driver/starts.rs
@@ -146,6 +146,7 @@
             run.state = State::Running;
             run.started = now;
             run.last_progress = now;
+            run.progress = super::Progress::new(now);
         }
     }
 
@@ -278,7 +279,8 @@
             started: now,
             percent: 0,
             last_progress: now,
-            behind_threshold: super::lists::initial_behind_threshold(estimate),
+            progress: super::Progress::new(now),
+            next_behind_report: super::lists::MIN_BEHIND_RUN_TIME,
             next_stall_report: now,
             pace_counted: false,
             start_deadline: 0,
@@ -305,7 +307,8 @@
             started: now,
             percent: 0,
             last_progress: now,
-            behind_threshold: Duration::MAX,
+            progress: super::Progress::new(now),
+            next_behind_report: Duration::MAX,
             next_stall_report: now,
             pace_counted: true,
             start_deadline: 0,
