A run that stands still is stopped although no other worker has room

Cause: a run without progress was stopped only if another worker had room for its task at that moment. Change: such a run is stopped if its pool has another worker; its task waits with the rank of its job. A run that stands still counts twice as much in the failure rate of its worker as a failed one, so that a worker that hangs is ejected. Result: the new test fails before and passes after.

--- a/crates/core/src/pool/driver/lists.rs
+++ b/crates/core/src/pool/driver/lists.rs
@@ -23,6 +23,9 @@
 const STALL_TIME: Duration = Duration::from_millis(150);
 /// Progress in percent whose usual time must pass without progress before a run is stalled.
 const STALL_PERCENT: f64 = 15.0;
+/// Smoothing factor of the failure rate for a run that stands still. It holds room and delays its job
+/// far longer than a failed one, and shows only once.
+const STALL_LEARNING_RATE: f32 = 0.4;
 /// Time without a worker after which claimed runs end; longer than its lease, and than the interval
 /// between heartbeats.
 const NO_WORKER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -222,7 +225,7 @@
             self.learn_pace(now, estimate, total);
         }
         if stalled {
-            self.failure_rate += super::LEARNING_RATE * (1.0 - self.failure_rate);
+            self.failure_rate += STALL_LEARNING_RATE * (1.0 - self.failure_rate);
         }
         if let Some(owner) = owner {
             self.send(&owner, msg, out);
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -241,6 +241,11 @@
             .filter(move |(_, worker)| connected(worker))
     }
 
+    /// Returns whether the pool has a connected worker beside the named one.
+    pub fn has_other(&self, name: &Name, pool: &Name) -> bool {
+        self.peers(pool).any(|(other, _)| other != name)
+    }
+
     fn may_eject(&self, pool: &Name) -> bool {
         let all = self.peers(pool).count();
         let ejected = self
--- a/crates/core/src/pool/scheduler/note.rs
+++ b/crates/core/src/pool/scheduler/note.rs
@@ -137,8 +137,8 @@
         worker: Name,
         /// Expected time to its end there, in milliseconds; `None` if it makes no progress.
         left_ms: Option<u32>,
-        /// Expected run time of a new run.
-        fresh: Duration,
+        /// Expected run time of a new run; `None` if no worker has room for it now.
+        fresh: Option<Duration>,
     },
     /// A job was answered.
     Answered {
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -246,7 +246,9 @@
         runs
     }
 
-    /// Handles a slow run: stops it if a new run on another worker is expected to end sooner.
+    /// Handles a slow run: stops it if a new run on another worker is expected to end sooner. A run
+    /// without progress is stopped even if no other worker has room now, since it only holds room
+    /// itself.
     fn on_behind(
         &mut self,
         now: Uptime,
@@ -272,21 +274,27 @@
             step,
             in_time: None,
         };
-        let Some(choice) = self.fleet.choose(now, need, other_worker, &mut self.rng) else {
-            return;
-        };
+        let choice = self.fleet.choose(now, need, other_worker, &mut self.rng);
         // A long task takes as long on any worker of the same speed: only the difference in speed
         // between the two workers counts.
         let worthwhile = |left: u32| {
+            let Some(choice) = &choice else {
+                return false;
+            };
             let current = self.fleet.slowdown_of(name, pool);
             let other = self.fleet.slowdown_of(&choice.worker, pool);
             let total = (f64::from(ran_ms) + f64::from(left)) / current * other;
             let new_run = seconds(total / 1000.0 * MOVE_FACTOR) + MIN_MOVE_GAIN;
             Duration::from_millis(left.into()) > new_run
         };
-        if left_ms.is_some_and(|left| !worthwhile(left)) {
+        let may_move = match left_ms {
+            Some(left) => worthwhile(left),
+            None => self.fleet.has_other(name, pool),
+        };
+        if !may_move {
             return;
         }
+        let fresh = choice.map(|choice| choice.expected);
         for task in &mut job.tasks {
             if (task.step, task.index) != (run.task.step, run.task.index) {
                 continue;
@@ -302,7 +310,7 @@
                     run,
                     worker: name.clone(),
                     left_ms,
-                    fresh: choice.expected,
+                    fresh,
                 }));
             }
         }
--- a/crates/core/tests/pool_scheduler.rs
+++ b/crates/core/tests/pool_scheduler.rs
@@ -437,6 +437,26 @@
     assert_eq!(harness.starts().len(), 1);
 }
 
+/// Guards against runs that stand still until their caller's deadline while the pool is full.
+#[test]
+fn a_run_without_progress_is_stopped_even_if_no_other_worker_has_room() {
+    let mut harness = Harness::new(&["a0", "a1"]);
+    harness.submit(job(1, 8, cpu(1000)), 7);
+    let (worker, start) = harness.starts()[0].clone();
+    harness.take_actions();
+    harness.advance(300 * MS);
+    let (run, left_ms, ran_ms) = (start.run, None, 300);
+    harness.receive(
+        &worker,
+        ToEntry::Behind {
+            run,
+            ran_ms,
+            left_ms,
+        },
+    );
+    assert_eq!(harness.stops(), vec![run]);
+}
+
 #[test]
 fn a_task_without_progress_on_any_worker_is_moved_at_most_twice() {
     let mut harness = Harness::new(&["a0", "a1"]);
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -111,7 +111,7 @@
         } => {
             MOVES.inc();
             log::info!(run:% = run, worker:% = worker, left_ms:? = left_ms,
-                fresh_ms = ms(*fresh); "run stopped to restart on another worker");
+                fresh_ms:? = fresh.map(ms); "run stopped to restart on another worker");
         }
         Note::Answered {
             job,
