One place decodes job ids; another job under an open id is refused

Cause: two decoders, and a submission whose id was open joined that job whatever it asked for, so that the second of two jobs with one id (for example ids that differ in case) was answered completed though none of its tasks was started.

--- a/crates/core/src/pool/job.rs
+++ b/crates/core/src/pool/job.rs
@@ -1,10 +1,12 @@
 //! Pooled jobs and their steps, tasks and runs.
 
 use std::fmt;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use crate::ids::Name;
 
@@ -17,7 +19,11 @@
 /// of them carry is within what may wait on one link.
 pub const MAX_PAYLOAD_BYTES: usize = 16 * 1024;
 
-/// Id of a job, chosen by its caller. Displayed as 16 hexadecimal digits.
+/// Number of hexadecimal digits of a job's id.
+const ID_DIGITS: usize = 16;
+
+/// Id of a job, chosen by its caller. Displayed as 16 hexadecimal digits in lower case, and parsed
+/// from 16 digits of any case: ids that differ only in case are the same.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct JobId(pub u64);
 
@@ -27,6 +33,24 @@
     }
 }
 
+/// The text is not the id of a job.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("an id has {ID_DIGITS} hexadecimal digits")]
+pub struct InvalidJobId;
+
+impl FromStr for JobId {
+    type Err = InvalidJobId;
+
+    fn from_str(text: &str) -> Result<Self, InvalidJobId> {
+        // `from_str_radix` would accept a sign.
+        if text.len() != ID_DIGITS || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(InvalidJobId);
+        }
+        let id = u64::from_str_radix(text, 16).map_err(|_| InvalidJobId)?;
+        Ok(Self(id))
+    }
+}
+
 /// Id of a task. Displayed as `job.step.index`.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct TaskId {
@@ -154,6 +178,11 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Returns whether `other` is another submission of this job.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.id == other.id && self.payload == other.payload && self.steps == other.steps
+    }
+
     /// Returns the number of tasks of all steps.
     pub fn tasks(&self) -> usize {
         self.steps.iter().map(|step| usize::from(step.count)).sum()
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -165,6 +165,11 @@
     ) {
         let id = spec.id;
         if let Some(job) = self.jobs.get_mut(&id) {
+            if !job.spec.is_same(&spec) {
+                let reason = "another job with this id is open";
+                Self::decline(caller, &spec, Answer::OtherJobOpen(reason), reason, out);
+                return;
+            }
             // Resubmitted while open: the outcome of the runs in progress is the answer.
             job.callers.push(caller);
             job.deadline = job.deadline.max(now + deadline);
--- a/crates/core/src/pool/scheduler/note.rs
+++ b/crates/core/src/pool/scheduler/note.rs
@@ -21,6 +21,8 @@
         /// Delay after which the caller should retry.
         retry_after: Duration,
     },
+    /// Another job with the same id is open, of which this says nothing. Holds the reason.
+    OtherJobOpen(&'static str),
     /// Tasks were started and the outcome is unknown: the caller's connection is closed without an
     /// answer. Holds the reason.
     OutcomeUnknown(&'static str),
--- a/crates/core/tests/pool_scheduler.rs
+++ b/crates/core/tests/pool_scheduler.rs
@@ -667,3 +667,20 @@
         "the first entry may still run it"
     );
 }
+
+#[test]
+fn a_job_with_the_id_of_another_open_job_is_not_answered_with_its_end() {
+    // Guards against an answer to tasks that were never started.
+    let mut harness = Harness::new(&["a0"]);
+    harness.submit(job(1, 1, cpu(1000)), 7);
+    harness.submit(job(1, 3, cpu(1000)), 8);
+    harness.submit(job(1, 1, cpu(1000)), 9);
+    let run = harness.starts()[0].1.run;
+    harness.receive("a0", ended(run, RunEnd::Done));
+    let conflict = Answer::OtherJobOpen("another job with this id is open");
+    let completed = |caller| (caller, Answer::Completed);
+    assert_eq!(
+        harness.answers(),
+        [(8, conflict), completed(7), completed(9)]
+    );
+}
--- a/crates/core/tests/support/pool/callers.rs
+++ b/crates/core/tests/support/pool/callers.rs
@@ -82,6 +82,9 @@
                     "{job} was answered as not run, but these runs exist: {runs:?}"
                 );
             }
+            Answer::OtherJobOpen(reason) => {
+                panic!("{reason}: all submissions of a job are the same")
+            }
             Answer::OutcomeUnknown(_) => {
                 if self.callers[&job].close(now, this) {
                     self.resent += 1;
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -42,6 +42,7 @@
         Answer::Completed => ("completed", ""),
         Answer::Failed(reason) => ("failed", reason),
         Answer::NotRun { reason, .. } => ("not-run", reason),
+        Answer::OtherJobOpen(reason) => ("conflict", reason),
         Answer::OutcomeUnknown(reason) => ("broken", reason),
     }
 }
