A cancel is acknowledged only when the entry that runs the job confirms it

Change: scheduler/cancels.rs holds the answer until the owner, or every entry whose runs may go on, has replied Cancelled { known }; repeats the request on a new link; counts an entry as ended 1,360 ms after it was last linked or alive; answers 503 after 3 s; ends a cancelled job that is met again (12 s, 4,096 at most). Lines and a counter for operators.

--- a/crates/core/src/pool/msg.rs
+++ b/crates/core/src/pool/msg.rs
@@ -242,6 +242,8 @@
     Cancelled {
         /// The job.
         job: JobId,
+        /// Whether the sender knew the job.
+        known: bool,
     },
     /// The sender's recent load.
     Load(LoadReport),
--- a/crates/core/src/pool/owners.rs
+++ b/crates/core/src/pool/owners.rs
@@ -34,8 +34,11 @@
     announcements: VecDeque<(Uptime, JobId)>,
     /// Known entries; the value is the time at which the link was lost, `None` while it is up.
     peers: IndexMap<Name, Option<Uptime>>,
-    /// Entries that answer the probes of some member, by the member list.
+    /// Other entries that answer the probes of some member, by the member list.
     live: IndexSet<Name>,
+    /// When each entry without a link was last linked, or alive by the member list. Dropped once its
+    /// runs have ended.
+    last_live: IndexMap<Name, Uptime>,
     /// Started jobs that are not announced yet.
     unannounced: Vec<JobId>,
     next_announcement: Uptime,
@@ -49,6 +52,7 @@
             announcements: VecDeque::new(),
             peers: IndexMap::new(),
             live: IndexSet::new(),
+            last_live: IndexMap::new(),
             unannounced: Vec::new(),
             next_announcement: Uptime::ZERO,
             announce_interval: KeepAlive::AGENT.ping_every,
@@ -62,19 +66,26 @@
         self.announce_interval = interval;
     }
 
-    /// Sets the entries that are alive by the member list.
+    /// Sets the other entries that are alive by the member list.
     pub fn set_live(&mut self, entries: IndexSet<Name>) {
+        for entry in &entries {
+            if self.peers.get(entry) != Some(&None) {
+                self.last_live.entry(entry.clone()).or_default();
+            }
+        }
         self.live = entries;
     }
 
     /// Handles a new link to another entry.
     pub fn link_up(&mut self, entry: &Name) {
         self.peers.insert(entry.clone(), None);
+        self.last_live.swap_remove(entry);
     }
 
     /// Handles the loss of the link to another entry.
     pub fn link_down(&mut self, now: Uptime, entry: &Name) {
         self.peers.insert(entry.clone(), Some(now));
+        self.last_live.insert(entry.clone(), now);
     }
 
     /// Records that this entry started a job.
@@ -137,9 +148,35 @@
         }
     }
 
+    /// Returns whether runs that another entry started may go on. Other than
+    /// [`Self::has_certainly_ended`], it counts from when the entry was last alive, if that is later
+    /// than the loss of its link.
+    pub fn may_run(&self, now: Uptime, entry: &Name) -> bool {
+        if self.live.contains(entry) {
+            return true;
+        }
+        let linked = self.peers.get(entry) == Some(&None);
+        let may_run = |at: &Uptime| now < *at + MAX_RUN_TIME_AFTER_LOSS;
+        linked || self.last_live.get(entry).is_some_and(may_run)
+    }
+
+    /// Returns the other entries whose runs may go on.
+    pub fn entries_that_may_run(&self, now: Uptime) -> impl Iterator<Item = &Name> {
+        let linked = self.peers.iter().filter(|(_, lost)| lost.is_none());
+        let known = linked.map(|(entry, _)| entry).chain(self.last_live.keys());
+        known.filter(move |entry| self.may_run(now, entry))
+    }
+
     /// Drops expired announcements. Returns the jobs to announce now; none while no announcement
     /// is due.
     pub fn tick(&mut self, now: Uptime) -> Vec<JobId> {
+        for (entry, at) in &mut self.last_live {
+            if self.live.contains(entry) {
+                *at = now;
+            }
+        }
+        self.last_live
+            .retain(|_, at| now < *at + MAX_RUN_TIME_AFTER_LOSS);
         while self
             .announcements
             .front()
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -1,5 +1,6 @@
 //! Scheduling of pooled jobs at an entry: admission, ordering, placement, retries and answers.
 
+mod cancels;
 mod load;
 mod note;
 mod open_job;
@@ -14,8 +15,10 @@
 use fastrand::Rng;
 use indexmap::IndexMap;
 
+pub use cancels::{CANCEL_WAIT, CancelAnswer, MAX_CANCELS};
 pub use note::{Action, Answer, Note, Placed};
 
+use cancels::Cancels;
 use load::PoolLoad;
 use open_job::{Hold, OpenJob, Rank, Task, TaskState, Tier};
 use peers::YieldRequest;
@@ -57,6 +60,7 @@
     waiting: BTreeSet<Rank>,
     stopping: IndexMap<RunId, StoppingRun>,
     yield_requests: Vec<YieldRequest>,
+    cancels: Cancels,
     /// When all runs that the entry's process before this one started have certainly ended.
     predecessor_runs_end: Uptime,
     /// Jobs that were removed here while another entry was asked to yield them, with that entry. They
@@ -90,6 +94,7 @@
             waiting: BTreeSet::new(),
             stopping: IndexMap::new(),
             yield_requests: Vec::new(),
+            cancels: Cancels::default(),
             predecessor_runs_end: now + MAX_RUN_TIME_AFTER_LOSS,
             awaited: IndexMap::new(),
             past_attempts: IndexMap::new(),
@@ -177,6 +182,12 @@
             out.push(Action::Note(Note::Resubmitted { job: id, request }));
             return;
         }
+        if self.cancels.contains(id) {
+            // Parts of it may have run before, so that it cannot be called not run.
+            let reason = "cancelled by the caller";
+            Self::decline(caller, &spec, Answer::OutcomeUnknown(reason), reason, out);
+            return;
+        }
         if self.jobs.len() >= MAX_JOBS {
             let reason = "too many jobs are open here";
             let retry_after = RETRY_AFTER;
@@ -288,6 +299,7 @@
 
     /// Handles the end of a caller's connection. Removes the job if it was its last caller.
     pub fn disconnected(&mut self, now: Uptime, caller: u64, out: &mut Vec<Action>) {
+        self.forget_canceller(caller);
         let found = self
             .jobs
             .iter_mut()
@@ -302,21 +314,6 @@
         self.remove(now, id, out);
     }
 
-    /// Cancels a job, or forwards the request to the entry that runs it.
-    ///
-    /// Returns `false` if no entry is known to run the job.
-    pub fn cancel(&mut self, now: Uptime, id: JobId, out: &mut Vec<Action>) -> bool {
-        if !self.jobs.contains_key(&id) {
-            if let Some(entry) = self.owners.owner(id) {
-                out.push(Action::Peer(entry.clone(), Peer::Cancel { job: id }));
-                return true;
-            }
-            return false;
-        }
-        self.abort(now, id, "cancelled by the caller", out);
-        true
-    }
-
     /// Answers a job that will not complete: [`Answer::NotRun`] if no task was sent, otherwise
     /// [`Answer::OutcomeUnknown`].
     fn abort(&mut self, now: Uptime, id: JobId, reason: &'static str, out: &mut Vec<Action>) {
@@ -396,6 +393,7 @@
         self.end_lost_runs(now, out);
         self.confirm_yields(now, out);
         self.release_holds(now, out);
+        self.settle_cancels(now, out);
         self.answer_overdue(now, out);
         self.place_all(now, out);
     }
@@ -484,7 +482,7 @@
             let is_confirmed = request.job == id && now >= request.not_before;
             if is_confirmed {
                 let entry = request.entry.clone();
-                out.push(Action::Peer(entry, Peer::Yielded { job: id }));
+                out.push(Action::Peer(entry, request.reply.clone()));
             }
             !is_confirmed
         });
--- a/crates/core/src/pool/scheduler/note.rs
+++ b/crates/core/src/pool/scheduler/note.rs
@@ -5,6 +5,7 @@
 use super::super::fleet::Choice;
 use super::super::job::{EndEvidence, JobId, RunEnd, RunId};
 use super::super::msg::{NotStarted, Peer, ToAgent};
+use super::CancelAnswer;
 use crate::ids::Name;
 
 /// The answer to a job.
@@ -39,6 +40,8 @@
     Peers(Peer),
     /// Answer the caller with this connection id.
     Answer(u64, Answer),
+    /// Answer the cancel of the caller with this connection id.
+    CancelAnswer(u64, CancelAnswer),
     /// Close all links, since the other processes may have treated this one as lost.
     DropLinks,
     /// Log and count an event.
@@ -157,6 +160,15 @@
         /// Number of starts sent to agents.
         starts: u32,
     },
+    /// A cancel was answered.
+    CancelAnswered {
+        /// The job.
+        job: JobId,
+        /// The answer.
+        answer: CancelAnswer,
+        /// Time that the cancel waited for other entries.
+        waited: Duration,
+    },
     /// The last caller of a job disconnected.
     Abandoned {
         /// The job.
--- a/crates/core/src/pool/scheduler/peers.rs
+++ b/crates/core/src/pool/scheduler/peers.rs
@@ -6,12 +6,14 @@
 use super::super::{KeepAlive, Uptime};
 use super::{Action, Hold, JobId, Name, Note, Scheduler};
 
-/// A request of another entry to yield a job.
+/// A request of another entry to yield or cancel a job.
 #[derive(Debug)]
 pub(super) struct YieldRequest {
     pub(super) job: JobId,
     /// The entry to notify once no run of the job is left here.
     pub(super) entry: Name,
+    /// The notification.
+    pub(super) reply: Peer,
     /// When it may be confirmed at the earliest. A job that this process does not know may have runs
     /// that the process before it started.
     pub(super) not_before: Uptime,
@@ -43,6 +45,7 @@
         let awaited = self.awaited.iter().filter(|(_, other)| *other == entry);
         let asked = held.map(|(id, _)| *id).chain(awaited.map(|(id, _)| *id));
         out.extend(asked.map(|job| Action::Peer(entry.clone(), Peer::Yield { job })));
+        self.repeat_cancels(entry, out);
     }
 
     /// Handles the loss of the link to another entry.
@@ -55,7 +58,10 @@
     /// Handles a message of another entry.
     pub fn on_peer(&mut self, now: Uptime, entry: &Name, msg: Peer, out: &mut Vec<Action>) {
         match msg {
-            Peer::JobsStarted { jobs } => self.owners.on_jobs_started(now, entry, jobs),
+            Peer::JobsStarted { jobs } => {
+                self.cancel_announced(entry, &jobs, out);
+                self.owners.on_jobs_started(now, entry, jobs);
+            }
             Peer::Yield { job } => self.on_yield(now, entry, job, out),
             Peer::Yielded { job } => {
                 let hold = Hold::Yield(entry.clone());
@@ -66,19 +72,17 @@
                     self.finish_stopping(now, job, out);
                 }
             }
-            Peer::Cancel { job } => {
-                if self.jobs.contains_key(&job) {
-                    self.abort(now, job, "cancelled by the caller", out);
-                }
+            Peer::Cancel { job } => self.on_cancel(now, entry, job, out),
+            Peer::Cancelled { job, known } => {
+                self.on_cancelled(now, entry, (job, known), out);
             }
-            Peer::Cancelled { .. } | Peer::Load(_) => {}
+            Peer::Load(_) => {}
         }
     }
 
     /// Aborts a job for the entry that asks for it, and confirms once no run of it is left.
     fn on_yield(&mut self, now: Uptime, entry: &Name, id: JobId, out: &mut Vec<Action>) {
-        let is_stopping = self.stopping.keys().any(|run| run.task.job == id);
-        let is_known = self.jobs.contains_key(&id) || is_stopping || self.awaited.contains_key(&id);
+        let is_known = self.may_have_runs(id);
         if self.jobs.contains_key(&id) {
             out.push(Action::Note(Note::Yielded {
                 job: id,
@@ -86,9 +90,29 @@
             }));
             self.abort(now, id, "the caller came to another entry", out);
         }
+        self.reply_without_runs(now, entry, (id, is_known), Peer::Yielded { job: id }, out);
+    }
+
+    /// Returns whether the job is open or may have runs that were started here or at an entry that
+    /// was asked to yield it.
+    pub(super) fn may_have_runs(&self, id: JobId) -> bool {
+        let is_stopping = self.stopping.keys().any(|run| run.task.job == id);
+        is_stopping || self.jobs.contains_key(&id) || self.awaited.contains_key(&id)
+    }
+
+    /// Sends the reply to another entry once no run of the job is left.
+    pub(super) fn reply_without_runs(
+        &mut self,
+        now: Uptime,
+        entry: &Name,
+        (id, is_known): (JobId, bool),
+        reply: Peer,
+        out: &mut Vec<Action>,
+    ) {
         self.yield_requests.push(YieldRequest {
             job: id,
             entry: entry.clone(),
+            reply,
             not_before: if is_known {
                 Uptime::ZERO
             } else {
--- a/crates/core/tests/pool_faults.rs
+++ b/crates/core/tests/pool_faults.rs
@@ -135,3 +135,16 @@
     };
     play(1, 8, STEPS, faults);
 }
+
+#[test]
+fn no_task_runs_long_after_the_acknowledged_cancel_of_its_job() {
+    let faults = Faults {
+        peer_cut: 4,
+        peer_close: 4,
+        suspend: 2,
+        kill_entry: 1,
+        cancel: 30,
+        ..NO_FAULTS
+    };
+    play(1, 8, STEPS, faults);
+}
--- a/crates/core/tests/support/pool.rs
+++ b/crates/core/tests/support/pool.rs
@@ -91,6 +91,10 @@
     next_caller: u64,
     next_job: u64,
     next_incarnation: u64,
+    /// Jobs of the cancels that are not answered, by caller.
+    cancels: IndexMap<u64, JobId>,
+    /// When the cancel of a job was acknowledged.
+    cancelled: IndexMap<JobId, Uptime>,
     pub completed: usize,
     pub refused: usize,
     pub resent: usize,
@@ -157,6 +161,8 @@
             next_caller: 1,
             next_job: 1,
             next_incarnation: 100,
+            cancels: IndexMap::new(),
+            cancelled: IndexMap::new(),
             completed: 0,
             refused: 0,
             resent: 0,
@@ -202,7 +208,9 @@
         for e in 0..self.entries.len() {
             if self.now >= self.entries[e].suspended_until {
                 let mut out = Vec::new();
-                self.entries[e].scheduler.set_live_entries(live.clone());
+                let mut others = live.clone();
+                others.swap_remove(&self.entries[e].node.name);
+                self.entries[e].scheduler.set_live_entries(others);
                 self.entries[e].scheduler.observe(self.now, &mut out);
                 for caller in std::mem::take(&mut self.entries[e].disconnected) {
                     self.entries[e]
@@ -215,6 +223,7 @@
         }
         self.suspend_held();
         self.check();
+        self.check_cancelled();
     }
 
     /// Returns the entries that run, as the member list shows them.
@@ -464,6 +473,9 @@
                     }
                 }
                 scheduler::Action::Answer(caller, answer) => self.on_answer(caller, &answer),
+                scheduler::Action::CancelAnswer(caller, answer) => {
+                    self.on_cancel_answer(caller, answer);
+                }
                 scheduler::Action::DropLinks => {
                     for a in 0..self.agents.len() {
                         let link = &mut self.links[e][a];
--- a/crates/core/tests/support/pool/callers.rs
+++ b/crates/core/tests/support/pool/callers.rs
@@ -2,7 +2,8 @@
 
 use rw_core::pool::Uptime;
 use rw_core::pool::job::{Job, JobId, Resources, Step};
-use rw_core::pool::scheduler::Answer;
+use rw_core::pool::owners::MAX_RUN_TIME_AFTER_LOSS;
+use rw_core::pool::scheduler::{Answer, CancelAnswer};
 
 use super::{Duration, Simulation};
 
@@ -124,6 +125,9 @@
         for job in timed_out {
             self.disconnect(job, false);
         }
+        if self.faults.cancel > 0 && self.chance(self.faults.cancel) {
+            self.cancel();
+        }
         if self.chance(self.faults.disconnect) && !self.callers.is_empty() {
             let at = self.rng.usize(0..self.callers.len());
             let job = self.callers.get_index(at).map(|(job, _)| *job);
@@ -133,6 +137,54 @@
         }
     }
 
+    /// Cancels a job at any entry. Its connections stay open, and it is not sent again.
+    fn cancel(&mut self) {
+        let e = self.rng.usize(0..self.entries.len());
+        if self.callers.is_empty() || self.now < self.entries[e].suspended_until {
+            return;
+        }
+        let at = self.rng.usize(0..self.callers.len());
+        let Some((job, _)) = self.callers.swap_remove_index(at) else {
+            return;
+        };
+        let caller = self.next_caller;
+        self.next_caller += 1;
+        self.trace(format!("caller {caller} cancels job {job} at entry {e}"));
+        self.cancels.insert(caller, job);
+        let mut out = Vec::new();
+        let scheduler = &mut self.entries[e].scheduler;
+        scheduler.observe(self.now, &mut out);
+        scheduler.cancel(self.now, job, caller, &mut out);
+        self.apply_entry(e, out);
+    }
+
+    pub(super) fn on_cancel_answer(&mut self, caller: u64, answer: CancelAnswer) {
+        self.trace(format!(
+            "the cancel of caller {caller} is answered {answer:?}"
+        ));
+        let job = self.cancels.swap_remove(&caller);
+        if answer == CancelAnswer::Unconfirmed {
+            return;
+        }
+        if let Some(job) = job {
+            self.cancelled.insert(job, self.now);
+        }
+    }
+
+    /// Checks that no task of a job runs long after its cancel was acknowledged.
+    pub(super) fn check_cancelled(&self) {
+        for run in self.agents.iter().flat_map(|agent| agent.worker.runs()) {
+            let cancelled = self.cancelled.get(&run.task.job);
+            assert!(
+                cancelled.is_none_or(|at| self.now < *at + MAX_RUN_TIME_AFTER_LOSS),
+                "{run} runs at {:?}, cancelled at {cancelled:?}, seed {}, after\n{:#?}",
+                self.now,
+                self.seed,
+                self.trace
+            );
+        }
+    }
+
     /// Closes a caller's connections. With `resend` the caller submits the job again later.
     fn disconnect(&mut self, job: JobId, resend: bool) {
         let state = self.callers.swap_remove(&job);
--- a/crates/core/tests/support/pool/faults.rs
+++ b/crates/core/tests/support/pool/faults.rs
@@ -38,6 +38,8 @@
     pub silent_caller: u32,
     /// A caller without an answer sends the job again while its connection stays open.
     pub impatient_caller: u32,
+    /// A caller cancels its job at any entry.
+    pub cancel: u32,
     /// A process acts 5 to 40 ms after it has read the time and its events.
     pub lag: u32,
     /// A process acts 50 to 600 ms after it has read the time and its events.
@@ -68,6 +70,7 @@
     peer_close: 0,
     silent_caller: 0,
     impatient_caller: 0,
+    cancel: 0,
     lag: 0,
     stall: 0,
     reorder: 0,
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -15,7 +15,7 @@
 use rw_core::pool::job::{Job, JobId};
 use rw_core::pool::msg::PoolMsg;
 use rw_core::pool::reach::Reach;
-use rw_core::pool::scheduler::{Action, Answer, Scheduler};
+use rw_core::pool::scheduler::{Action, Answer, CancelAnswer, Scheduler};
 use rw_core::pool::{KeepAlive, Uptime};
 use rw_host::cluster::{Cluster, ClusterEvent};
 use rw_host::net::{Accepts, ConnId, HttpLimits, HttpRequest, HttpResponse, Net, NetEvent};
@@ -77,8 +77,8 @@
     fn pending(&self, jobs: usize) -> HttpResponse;
     /// Builds the response to [`CallerRequest::State`].
     fn state(&self, open: bool) -> HttpResponse;
-    /// Builds the response to [`CallerRequest::Cancel`]. `known` is whether the job was open.
-    fn cancelled(&self, known: bool) -> HttpResponse;
+    /// Builds the response to [`CallerRequest::Cancel`].
+    fn cancelled(&self, answer: CancelAnswer) -> HttpResponse;
     /// Builds the response that refuses a request with an HTTP status and a reason.
     fn refuse(&self, status: u16, reason: &str) -> HttpResponse;
     /// Returns the caller's id of this request, for logs; empty if it has none.
@@ -361,9 +361,9 @@
             }
             CallerRequest::State(job) => self.protocol.state(self.scheduler.is_open(job)),
             CallerRequest::Cancel(job) => {
-                let known = self.scheduler.cancel(now, job, out);
-                log::info!(job:% = job, request = request, known = known; "cancellation requested");
-                self.protocol.cancelled(known)
+                log::info!(job:% = job, request = request; "cancel requested");
+                self.scheduler.cancel(now, job, conn as u64, out);
+                return;
             }
             CallerRequest::Refuse(status, reason) => {
                 log::info!(path = req.path, request = request, host = req.header("host").unwrap_or_default(),
@@ -438,6 +438,10 @@
                     }
                 }
                 Action::Answer(caller, answer) => self.answer(caller as ConnId, &answer),
+                Action::CancelAnswer(caller, answer) => {
+                    let response = self.protocol.cancelled(answer);
+                    self.net.respond(caller as ConnId, &response);
+                }
                 Action::DropLinks => self.drop_links(now),
                 Action::Note(note) => notes::record(&note, self.catalog_version),
             }
--- a/crates/entry/src/pooled/links.rs
+++ b/crates/entry/src/pooled/links.rs
@@ -15,8 +15,10 @@
         let later = |m: &&Member| m.role == Role::Entry && m.node.name > own_name;
         let entry_count = members.iter().filter(|m| m.role == Role::Entry).count();
         self.set_entry_count(entry_count);
-        let live = |m: &&Member| m.role == Role::Entry && m.state == MemberState::Alive;
-        let live = members.iter().filter(live).map(|m| m.node.name.clone());
+        let live = members.iter().filter(|m| {
+            m.role == Role::Entry && m.state == MemberState::Alive && m.node.name != own_name
+        });
+        let live = live.map(|m| m.node.name.clone());
         self.scheduler.set_live_entries(live.collect());
         let entries = members.iter().filter(later);
         self.later_entries = entries.map(|m| (m.node.name.clone(), m.link)).collect();
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -6,8 +6,9 @@
 
 use prometheus::{HistogramVec, IntCounter, IntCounterVec};
 use rw_core::ids::Name;
-use rw_core::pool::job::{EndEvidence, RunEnd, RunId};
-use rw_core::pool::scheduler::{Answer, Note, Placed, Scheduler};
+use rw_core::pool::job::{EndEvidence, JobId, RunEnd, RunId};
+use rw_core::pool::msg::NotStarted;
+use rw_core::pool::scheduler::{Answer, CancelAnswer, Note, Placed, Scheduler};
 use rw_host::metrics;
 use rw_host::net::Net;
 
@@ -34,6 +35,13 @@
 });
 static RUNS: LazyLock<IntCounterVec> =
     LazyLock::new(|| metrics::counters("rw_pooled_runs_total", "Runs by their end", &["end"]));
+static CANCELS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_cancels_total",
+        "Cancels by their answer",
+        &["answer"],
+    )
+});
 static MOVES: LazyLock<IntCounter> =
     LazyLock::new(|| metrics::counter("rw_pooled_moves_total", "Runs stopped to start elsewhere"));
 
@@ -79,11 +87,7 @@
             log::info!(job:% = job, request:% = request, reason = reason; "job declined");
         }
         Note::Placed { job, queue, runs } => {
-            for placed in runs {
-                WAITS
-                    .with_label_values(&[&**queue])
-                    .observe(placed.waited.as_secs_f64());
-            }
+            record_waits(queue, runs);
             log::info!(job:% = job, runs = format_placements(runs); "runs sent");
         }
         Note::RunEnded {
@@ -100,9 +104,7 @@
             worker,
             reason,
         } => {
-            let kind = format!("{reason:?}");
-            RUNS.with_label_values(&[&kind]).inc();
-            log::info!(run:% = run, worker:% = worker, end = kind, ran_ms = 0; "run did not complete");
+            record_refusal(*run, worker, *reason);
         }
         Note::Moved {
             run,
@@ -132,6 +134,13 @@
             log::info!(job:% = job, queue:% = queue, answer = answer, reason = reason,
                 took_ms = ms(*took), aim_ms = ms(*aim), starts = starts; "job answered");
         }
+        Note::CancelAnswered {
+            job,
+            answer,
+            waited,
+        } => {
+            record_cancel_answer(*job, *answer, *waited);
+        }
         Note::Abandoned { job, took } => {
             log::info!(job:% = job, took_ms = ms(*took); "last caller disconnected");
         }
@@ -153,6 +162,25 @@
     }
 }
 
+fn record_waits(queue: &Name, runs: &[Placed]) {
+    let waits = WAITS.with_label_values(&[&**queue]);
+    for run in runs {
+        waits.observe(run.waited.as_secs_f64());
+    }
+}
+
+fn record_refusal(run: RunId, worker: &Name, reason: NotStarted) {
+    let kind = format!("{reason:?}");
+    RUNS.with_label_values(&[&kind]).inc();
+    log::info!(run:% = run, worker:% = worker, end = kind, ran_ms = 0; "run did not complete");
+}
+
+fn record_cancel_answer(job: JobId, answer: CancelAnswer, waited: Duration) {
+    let kind = format!("{answer:?}");
+    CANCELS.with_label_values(&[&kind]).inc();
+    log::info!(job:% = job, answer = kind, waited_ms = ms(waited); "cancel answered");
+}
+
 fn record_run_end(run: RunId, worker: &Name, (end, evidence): (RunEnd, EndEvidence), ran_ms: u32) {
     let kind = format!("{end:?}");
     RUNS.with_label_values(&[&kind]).inc();
