Runs are judged by their present rate only on workers that have turned slow

Change: an early message that a run is behind is sent only within 1 s after progress has shown that the worker turned slow; the pace moves by the progress of five runs at least, from a factor of 2.5.

--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -301,6 +301,8 @@
     pace_updated: Uptime,
     /// When the pace was last moved by the progress of runs.
     pace_stepped: Uptime,
+    /// When the progress of runs last showed that the worker had turned slower.
+    slowed: Option<Uptime>,
     /// Moving average of the share of runs that fail, from 0 to 1.
     failure_rate: f32,
     /// Whether the process is shutting down.
@@ -339,6 +341,7 @@
             pace: 0.0,
             pace_updated: now,
             pace_stepped: now,
+            slowed: None,
             failure_rate: 0.0,
             draining: false,
         }
--- a/crates/core/src/pool/driver/lists.rs
+++ b/crates/core/src/pool/driver/lists.rs
@@ -193,6 +193,7 @@
 
     /// Notifies the owner when a run is behind its estimate or stalled.
     fn check_progress(&mut self, now: Uptime, id: RunId, out: &mut Vec<Action>) {
+        let slowed = self.has_slowed(now);
         let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
@@ -201,11 +202,12 @@
         }
         let ran = now.saturating_sub(run.started);
         let left = run.time_left(now);
+        let threshold = behind_threshold(run.estimate);
         let stalled = run.is_stalled(now);
         let due = if stalled {
             now >= run.next_stall_report
         } else {
-            ran >= run.next_behind_report && ran + left >= behind_threshold(run.estimate)
+            ran >= run.next_behind_report && (ran >= threshold || slowed && ran + left >= threshold)
         };
         if !due || !stalled && run.percent == 0 {
             return;
--- a/crates/core/src/pool/driver/speed.rs
+++ b/crates/core/src/pool/driver/speed.rs
@@ -13,14 +13,16 @@
 const RATE_RETENTION: Duration = Duration::from_millis(150);
 /// Minimum number of runs whose progress is compared with their estimates. Single estimates are
 /// often far off.
-const MIN_RUNS: usize = 3;
+const MIN_RUNS: usize = 5;
 /// Difference of the natural logarithm of the pace from which progress overrides what was learned:
-/// a factor of 2.
-const STEP: f32 = 0.7;
+/// a factor of 2.5. Estimates that are off by half, and long runs among few, stay below it.
+const STEP: f32 = 0.9;
 /// Share of the difference by which the learned pace moves with one list.
 const STEP_RATE: f32 = 0.5;
 /// Minimum time between two such updates.
 const STEP_INTERVAL: Duration = Duration::from_millis(40);
+/// Time after such an update for which a worker counts as one that has turned slow.
+const SLOWED_PERIOD: Duration = Duration::from_secs(1);
 
 /// Progress of a run over the last observed window.
 #[derive(Clone, Copy, Debug)]
@@ -88,10 +90,22 @@
         self.pace = self.pace(now) + STEP_RATE * difference;
         self.pace_updated = now;
         self.pace_stepped = now;
+        if difference > 0.0 {
+            self.slowed = Some(now);
+        }
         true
     }
 }
 
+impl Driver {
+    /// Returns whether the worker has recently turned slow, so that its runs are to be judged by
+    /// their present rate of progress.
+    pub(super) fn has_slowed(&self, now: Uptime) -> bool {
+        let recent = self.slowed.is_some_and(|at| now < at + SLOWED_PERIOD);
+        recent && self.pace(now) > STEP
+    }
+}
+
 impl Run {
     /// Records the progress that a list states.
     pub(super) fn observe_progress(&mut self, now: Uptime, percent: u8) {
