--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -17,6 +17,7 @@
         .subcommand(tenant())
         .subcommand(preset())
         .subcommand(worker())
+        .subcommand(domain())
         .subcommand(
             Command::new("check")
                 .about("Checks the settings that all daemons have in common")
@@ -251,6 +252,22 @@
         )
 }
 
+fn domain() -> Command {
+    Command::new("domain")
+        .about("Evacuates failure domains, or takes them back")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("evacuate")
+                .about("Stops giving new work to the workers of a failure domain")
+                .arg(name_arg("Name of the failure domain")),
+        )
+        .subcommand(
+            Command::new("return")
+                .about("Resumes giving work to the workers of an evacuated failure domain")
+                .arg(name_arg("Name of the failure domain")),
+        )
+}
+
 /// Returns the value of an argument, or `None` if it has none.
 ///
 /// Panics if the argument is not defined or has another type.
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod completions;
+mod domain;
 mod hash_token;
 mod man;
 mod preset;
@@ -31,6 +32,7 @@
         Some(("service", args)) => Box::new(service::Service::new(args)),
         Some(("tenant", args)) => Box::new(tenant::Tenant::new(args)),
         Some(("preset", args)) => Box::new(preset::Preset::new(args)),
+        Some(("domain", args)) => Box::new(domain::Domain::new(args)),
         Some(("worker", args)) => Box::new(worker::Worker::new(args)),
         Some(("check", args)) => Box::new(check::Check::new(args)),
         Some(("completions", args)) => Box::new(completions::Completions::new(args)),
--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -4,6 +4,7 @@
 
 use clap::ArgMatches;
 use rw_core::members::{Member, MemberState};
+use rw_core::msg::Role;
 
 use super::Subcommand;
 use crate::client::{self, Client};
@@ -69,6 +70,16 @@
             quota.weight, quota.rate, quota.concurrency, tenant.changed_at
         )?;
     }
+    for (domain, changed_at) in &state.evacuated {
+        let agents = status.members.iter().filter(|m| {
+            m.role == Role::Agent && m.domain == *domain && m.state != MemberState::Dead
+        });
+        writeln!(
+            out,
+            "domain {domain}  evacuated at {changed_at}  agents {}",
+            agents.count()
+        )?;
+    }
     let settled = state.shards.iter().filter(|shard| shard.settled).count();
     writeln!(
         out,
--- a/crates/control/src/event_loop.rs
+++ b/crates/control/src/event_loop.rs
@@ -41,6 +41,9 @@
 const MAX_EVENT_BATCH: usize = 256;
 /// Maximum number of changes that wait to be committed; further ones are refused.
 const MAX_PENDING_CHANGES: usize = 1024;
+/// Number of further changes that may wait if they are orders about failure domains, so that these
+/// are accepted while configurations fill the rest.
+const RESERVED_FOR_DOMAINS: usize = 64;
 /// Time between two checks of the placement of the registry's shards.
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time from gaining the leader lease to the first placement of shards, so that the members are
@@ -281,9 +284,13 @@
             return;
         }
         let id = req.request_id;
-        if self.pending_changes.len() >= MAX_PENDING_CHANGES
-            || !self.raft.propose(now, req, effects)
-        {
+        let is_about_domain = matches!(req.change, Change::Evacuate { .. } | Change::Return { .. });
+        let limit = if is_about_domain {
+            MAX_PENDING_CHANGES + RESERVED_FOR_DOMAINS
+        } else {
+            MAX_PENDING_CHANGES
+        };
+        if self.pending_changes.len() >= limit || !self.raft.propose(now, req, effects) {
             let _ = reply.send(ChangeReply::NotLeader(self.leader_name()));
             return;
         }
--- a/crates/control/src/operations.rs
+++ b/crates/control/src/operations.rs
@@ -38,6 +38,20 @@
     Undecided,
 }
 
+/// Outcome of an order about a failure domain.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DomainOutcome {
+    /// The order is committed, or was in force before.
+    InForce,
+    /// The order is invalid, for the given reason.
+    Invalid(String),
+    /// This node does not lead, or too many changes wait to be committed; holds the name of the
+    /// leader, if known.
+    Elsewhere(Option<Name>),
+    /// The outcome was not known in time; the order may still be committed.
+    Undecided,
+}
+
 /// Outcome of a confirmed read of the catalogue.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ReadOutcome {
@@ -94,35 +108,75 @@
         let change = Change::Publish {
             catalog: Arc::new(catalog),
         };
+        let published = match self.change(change) {
+            Some(ChangeReply::Outcome(ChangeOutcome::Applied { .. })) => PublishOutcome::Kept,
+            Some(ChangeReply::Outcome(ChangeOutcome::Conflict { .. })) => {
+                PublishOutcome::OtherContent
+            }
+            Some(ChangeReply::Outcome(ChangeOutcome::Invalid { reason })) => {
+                PublishOutcome::Invalid(reason)
+            }
+            Some(ChangeReply::NotLeader(leader)) => PublishOutcome::Elsewhere(leader),
+            None => PublishOutcome::Undecided,
+        };
+        log::info!(version = version, outcome:? = published; "catalogue publication finished");
+        published
+    }
+
+    /// Orders that the workers of a failure domain get no new work, and waits until the order is
+    /// committed. A domain that is evacuated already stays so.
+    pub fn evacuate(&self, domain: &Name) -> DomainOutcome {
+        let outcome = self.order(Change::Evacuate {
+            domain: domain.clone(),
+        });
+        log::info!(domain:% = domain, outcome:? = outcome; "order to evacuate a domain finished");
+        outcome
+    }
+
+    /// Withdraws [`Operations::evacuate`], and waits until this is committed. Without effect on a
+    /// domain that is not evacuated.
+    pub fn take_back(&self, domain: &Name) -> DomainOutcome {
+        let outcome = self.order(Change::Return {
+            domain: domain.clone(),
+        });
+        log::info!(domain:% = domain, outcome:? = outcome; "order to take a domain back finished");
+        outcome
+    }
+
+    fn order(&self, change: Change) -> DomainOutcome {
+        match self.change(change) {
+            Some(ChangeReply::Outcome(ChangeOutcome::Applied { .. })) => DomainOutcome::InForce,
+            Some(ChangeReply::Outcome(ChangeOutcome::Conflict { .. })) | None => {
+                DomainOutcome::Undecided
+            }
+            Some(ChangeReply::Outcome(ChangeOutcome::Invalid { reason })) => {
+                DomainOutcome::Invalid(reason)
+            }
+            Some(ChangeReply::NotLeader(leader)) => DomainOutcome::Elsewhere(leader),
+        }
+    }
+
+    /// Proposes a change and waits until it is committed, across an election. Returns `None` if the
+    /// outcome is not known in time.
+    fn change(&self, change: Change) -> Option<ChangeReply> {
         let req = ChangeRequest {
             request_id: uuid::Uuid::from_u128(fastrand::u128(..)),
             base: u64::MAX,
             change,
         };
-        let no_leader = |outcome: &PublishOutcome| *outcome == PublishOutcome::Elsewhere(None);
-        let published = during_election(no_leader, || self.propose(&req));
-        log::info!(version = version, outcome:? = published; "catalogue publication finished");
-        published
+        let no_leader =
+            |reply: &Option<ChangeReply>| matches!(reply, Some(ChangeReply::NotLeader(None)));
+        during_election(no_leader, || self.propose(&req))
     }
 
-    fn propose(&self, req: &ChangeRequest) -> PublishOutcome {
+    fn propose(&self, req: &ChangeRequest) -> Option<ChangeReply> {
         let (tx, rx) = flume::bounded(1);
         let event = Event::Change(req.clone(), tx);
         if self.tx.send_timeout(event, EVENT_LOOP_TIMEOUT).is_err() {
             log::warn!("change not proposed: event queue is full");
-            return PublishOutcome::Undecided;
-        }
-        match rx.recv_timeout(CHANGE_TIMEOUT) {
-            Ok(ChangeReply::Outcome(ChangeOutcome::Applied { .. })) => PublishOutcome::Kept,
-            Ok(ChangeReply::Outcome(ChangeOutcome::Conflict { .. })) => {
-                PublishOutcome::OtherContent
-            }
-            Ok(ChangeReply::Outcome(ChangeOutcome::Invalid { reason })) => {
-                PublishOutcome::Invalid(reason)
-            }
-            Ok(ChangeReply::NotLeader(leader)) => PublishOutcome::Elsewhere(leader),
-            Err(_) => PublishOutcome::Undecided,
+            return None;
         }
+        rx.recv_timeout(CHANGE_TIMEOUT).ok()
     }
 
     /// Returns the latest catalogue, as confirmed by a majority.
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -27,6 +27,10 @@
 pub const MAX_STATE_BYTES: usize = 16 * 1024 * 1024;
 /// Maximum length of an object's name, in bytes.
 pub const MAX_NAME_BYTES: usize = 64;
+/// Maximum length of a failure domain's name, in bytes. Settings choose it, not operators.
+pub const MAX_DOMAIN_BYTES: usize = 256;
+/// Maximum number of failure domains that are evacuated at a time.
+pub const MAX_EVACUATED: usize = 256;
 
 /// A value with the revision of its last change.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -313,6 +317,11 @@
         if let Err(reason) = self.check(&change) {
             return ChangeOutcome::Invalid { reason };
         }
+        if self.is_in_force(&change) {
+            return ChangeOutcome::Applied {
+                revision: self.revision,
+            };
+        }
         if let Change::Publish { catalog } = &change
             && let Some(published) = self
                 .catalog
@@ -340,6 +349,16 @@
         }
     }
 
+    /// Returns whether an order about a failure domain asks for what is in force already, so that no
+    /// process needs a new revision.
+    fn is_in_force(&self, change: &Change) -> bool {
+        match change {
+            Change::Evacuate { domain } => self.evacuated.contains_key(domain),
+            Change::Return { domain } => !self.evacuated.contains_key(domain),
+            _ => false,
+        }
+    }
+
     /// Returns the outcome for a catalogue whose version is not higher than the published one; the
     /// published one stays. Different content under the same version is a conflict, so that a
     /// version identifies its content.
@@ -408,7 +427,15 @@
             Change::Undrain { worker } => check_exists(&self.drained, worker, "drained worker"),
             Change::Place { shards } => self.check_placement(shards),
             Change::Publish { catalog } => catalog.check().map_err(|e| e.to_string()),
-            Change::Evacuate { domain } | Change::Return { domain } => check_name(domain),
+            Change::Evacuate { domain } => {
+                check_domain(domain)?;
+                let full = self.evacuated.len() >= MAX_EVACUATED;
+                if full && !self.evacuated.contains_key(domain) {
+                    return Err(format!("{MAX_EVACUATED} domains are evacuated already"));
+                }
+                Ok(())
+            }
+            Change::Return { domain } => check_domain(domain),
         }
     }
 
@@ -488,7 +515,7 @@
             Change::Place { shards } => self.place(shards),
             Change::Publish { catalog } => self.catalog = Some(catalog),
             Change::Evacuate { domain } => {
-                self.evacuated.entry(domain).or_insert(changed_at);
+                self.evacuated.insert(domain, changed_at);
             }
             Change::Return { domain } => {
                 self.evacuated.shift_remove(&domain);
@@ -525,6 +552,16 @@
     Ok(())
 }
 
+fn check_domain(domain: &str) -> Result<(), String> {
+    if domain.is_empty() || domain.len() > MAX_DOMAIN_BYTES || domain.contains(char::is_control) {
+        return Err(format!(
+            "the name of a failure domain must have 1 to {MAX_DOMAIN_BYTES} bytes and no control \
+             character"
+        ));
+    }
+    Ok(())
+}
+
 fn check_preset(preset: &Preset) -> Result<(), String> {
     if preset.long_share_percent > 100 || preset.quota_percent > 1000 {
         return Err("long_share_percent must be at most 100, quota_percent at most 1000".into());
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -39,6 +39,9 @@
 /// Size of the receive buffer; longer datagrams are truncated and fail authentication.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
+/// Maximum number of evacuated failure domains that a log line names.
+const LOGGED_DOMAINS: usize = 8;
+
 /// A change of the cluster as this process sees it.
 #[derive(Debug)]
 pub enum ClusterEvent {
@@ -198,8 +201,9 @@
         {
             return;
         }
-        shared.state = Some(state);
+        let before = shared.state.replace(state.clone());
         drop(shared);
+        note_evacuated(before.as_deref(), &state);
         let _ = self.tx.send(Command::Revision(revision));
     }
 
@@ -273,6 +277,27 @@
     }
 }
 
+/// Logs the evacuated failure domains if they have changed, and updates their metric.
+fn note_evacuated(before: Option<&ClusterState>, state: &ClusterState) {
+    let evacuated = &state.evacuated;
+    let unchanged = before.map_or(evacuated.is_empty(), |before| {
+        before.evacuated == *evacuated
+    });
+    metrics::HELD
+        .with_label_values(&["evacuated_domains"])
+        .set(evacuated.len() as i64);
+    if unchanged {
+        return;
+    }
+    let names: Vec<&str> = evacuated
+        .keys()
+        .map(|d| &**d)
+        .take(LOGGED_DOMAINS)
+        .collect();
+    log::info!(evacuated = names.join(","), count = evacuated.len(), revision = state.revision;
+        "evacuated domains changed");
+}
+
 /// State of the membership thread.
 struct MembershipLoop {
     members: Members,
