Entries and agents follow evacuated failure domains

Change: an entry sends no starts to agents of such domains, does not link to them on demand, leaves their room out of free capacity, medians and readiness, reduces its recent load by the lost share in the same tick, and refuses (not run, with a delay) jobs that only their workers could run. An agent of such a domain refuses queued and new starts itself, keeps its runs, and starts nothing before the first state.

--- a/crates/agent/src/pooled.rs
+++ b/crates/agent/src/pooled.rs
@@ -126,6 +126,7 @@
         link_count: LinkCount::default(),
         announced: None,
     };
+    daemon.driver.await_domain_state();
     let mut events = Vec::new();
     let mut out = Vec::new();
     loop {
@@ -183,6 +184,9 @@
                     let pools = catalog.pools.iter().map(|pool| pool.name.clone());
                     self.driver.set_pools(pools.collect());
                 }
+                let domain = &self.cluster.hello.domain;
+                let evacuated = state.evacuated.contains_key(domain);
+                self.driver.set_evacuated(now, evacuated, out);
             }
             ThreadEvent::Cluster(ClusterEvent::Members(members)) => self.on_members(now, &members),
             ThreadEvent::Shutdown => {
--- a/crates/agent/src/pooled/notes.rs
+++ b/crates/agent/src/pooled/notes.rs
@@ -3,7 +3,7 @@
 use std::sync::LazyLock;
 use std::time::Duration;
 
-use prometheus::{Histogram, IntCounterVec};
+use prometheus::{Histogram, IntCounter, IntCounterVec};
 use rw_core::pool::driver::{Driver, Note};
 use rw_core::pool::job::RunEnd;
 use rw_host::metrics;
@@ -21,6 +21,13 @@
     )
 });
 
+static EVACUATED_REFUSALS: LazyLock<IntCounter> = LazyLock::new(|| {
+    metrics::counter(
+        "rw_pooled_evacuated_refusals_total",
+        "Starts refused because the agent's domain is evacuated or no state is known yet",
+    )
+});
+
 fn ms(time: Duration) -> u64 {
     time.as_millis() as u64
 }
@@ -87,6 +94,13 @@
             log::warn!(calls = calls, since_ms = ms(*since);
                 "worker does not answer calls; starting no new runs");
         }
+        Note::DomainEvacuated { evacuated, runs } => {
+            log::info!(evacuated = evacuated, runs = runs; "own domain evacuated or taken back");
+        }
+        Note::EvacuatedRefused { run } => {
+            EVACUATED_REFUSALS.inc();
+            log::info!(run:% = run; "start refused: the own domain is evacuated or no state is known");
+        }
         Note::WorkerRecovered => log::info!("worker answers calls again"),
         Note::EntryLost {
             entry,
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -288,6 +288,18 @@
     failure_rate: f32,
     /// Whether the process is shutting down.
     draining: bool,
+    domain: DomainState,
+}
+
+/// What the agent knows of the evacuation of its own failure domain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum DomainState {
+    /// It is not evacuated.
+    Open,
+    /// It is evacuated.
+    Evacuated,
+    /// Nothing yet: no cluster state has arrived since the start.
+    Unknown,
 }
 
 impl Driver {
@@ -321,6 +333,7 @@
             pace_updated: now,
             failure_rate: 0.0,
             draining: false,
+            domain: DomainState::Open,
         }
     }
 
@@ -362,6 +375,35 @@
         self.refuse_queued(NotStarted::NoWorker, out);
     }
 
+    /// Lets no run start before [`Driver::set_evacuated`] is called.
+    pub fn await_domain_state(&mut self) {
+        self.domain = DomainState::Unknown;
+    }
+
+    /// Sets whether the agent's own failure domain is evacuated. If it is, queued runs and every
+    /// further start are refused, also those of entries that have not heard of it; running ones go
+    /// on.
+    pub fn set_evacuated(&mut self, now: Uptime, evacuated: bool, out: &mut Vec<Action>) {
+        let domain = if evacuated {
+            DomainState::Evacuated
+        } else {
+            DomainState::Open
+        };
+        if domain == self.domain {
+            return;
+        }
+        let was_unknown = self.domain == DomainState::Unknown;
+        self.domain = domain;
+        if evacuated || !was_unknown {
+            let runs = self.runs.len();
+            out.push(Action::Note(Note::DomainEvacuated { evacuated, runs }));
+        }
+        if evacuated {
+            self.refuse_queued(NotStarted::NoWorker, out);
+        }
+        self.report(now, out);
+    }
+
     /// Handles timeouts and other work that is due, then sends reports to entries.
     pub fn tick(&mut self, now: Uptime, out: &mut Vec<Action>) {
         self.expire_calls(now, out);
@@ -403,6 +445,7 @@
     fn accepts_runs(&self) -> bool {
         let ready = |worker: &Worker| worker.listed && worker.state == HeartbeatState::Ready;
         !self.draining
+            && self.domain == DomainState::Open
             && !self.unresponsive
             && !self.has_orphans()
             && self.worker.as_ref().is_some_and(ready)
--- a/crates/core/src/pool/driver/note.rs
+++ b/crates/core/src/pool/driver/note.rs
@@ -96,6 +96,19 @@
         /// Time since its last answer.
         since: Duration,
     },
+    /// The agent's own failure domain was evacuated, or taken back.
+    DomainEvacuated {
+        /// Whether it is evacuated.
+        evacuated: bool,
+        /// Number of runs that the worker had.
+        runs: usize,
+    },
+    /// A start was refused since the agent's own failure domain is evacuated, or no cluster state
+    /// says yet that it is not.
+    EvacuatedRefused {
+        /// The run.
+        run: RunId,
+    },
     /// An unresponsive worker answered again.
     WorkerRecovered,
     /// Nothing was received from an entry for too long, and its runs are stopped.
--- a/crates/core/src/pool/driver/starts.rs
+++ b/crates/core/src/pool/driver/starts.rs
@@ -4,8 +4,8 @@
 use super::super::job::{EndEvidence, RunEnd, RunId};
 use super::super::msg::{NotStarted, Start};
 use super::{
-    ASSURED_LEASE, Action, Call, Driver, Duration, HeartbeatState, MAX_QUEUED, Note, Run,
-    SHORT_START_WINDOW, START_WINDOW, StartRefusal, State,
+    ASSURED_LEASE, Action, Call, DomainState, Driver, Duration, HeartbeatState, MAX_QUEUED, Note,
+    Run, SHORT_START_WINDOW, START_WINDOW, StartRefusal, State,
 };
 use crate::ids::NodeRef;
 
@@ -33,7 +33,10 @@
             .is_some_and(|worker| worker.state == HeartbeatState::Ready);
         let other_run = self.runs.keys().any(|other| other.task == run.task);
         self.runs.insert(run, Run::new(now, owner, start));
-        if !ready || self.unresponsive || self.draining {
+        if self.domain != DomainState::Open {
+            out.push(Action::Note(Note::EvacuatedRefused { run }));
+            self.refuse(run, NotStarted::NoWorker, out);
+        } else if !ready || self.unresponsive || self.draining {
             self.refuse(run, NotStarted::NoWorker, out);
         } else if queue_full {
             self.refuse(run, NotStarted::NoRoom, out);
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -1,6 +1,7 @@
 //! The workers known to one entry: free capacity, speed and health.
 
 mod choice;
+mod evacuated;
 
 use std::time::Duration;
 
@@ -45,6 +46,10 @@
     pub reported: Uptime,
     /// Ratio of run time to estimate, from the latest report.
     run_factor: f64,
+    /// The failure domain of its agent; `None` if it is not known.
+    pub domain: Option<Name>,
+    /// Whether that domain is evacuated.
+    evacuated: bool,
     /// Time at which its agent's link was lost; `None` while it is up.
     pub down_since: Option<Uptime>,
     /// Number of starts sent on the present link.
@@ -75,7 +80,8 @@
     /// Returns whether it may be sent runs now.
     fn accepts_runs(&self, now: Uptime) -> bool {
         let refusing = self.out_of_capacity || now < self.avoid_until;
-        self.down_since.is_none() && self.report.open && !refusing && self.info.is_some()
+        let linked = self.down_since.is_none() && self.info.is_some();
+        linked && self.report.open && !refusing && !self.evacuated
     }
 
     fn serves(&self, pool: &Name) -> bool {
@@ -99,6 +105,10 @@
     medians: IndexMap<Name, f64>,
     /// Capacities and labels of the workers of all agents by the member list, linked or not.
     offers: Vec<WorkerInfo>,
+    /// As `offers`, of the agents in evacuated failure domains.
+    evacuated_offers: Vec<WorkerInfo>,
+    /// Failure domains whose workers get no new runs.
+    evacuated: IndexSet<Name>,
     /// Workers that have gained capacity, or accept runs again, since the last
     /// [`Fleet::take_freed`].
     freed: Vec<Name>,
@@ -129,6 +139,8 @@
             report: CapacityReport::default(),
             reported: now,
             run_factor: 1.0,
+            domain: None,
+            evacuated: false,
             down_since: None,
             starts_sent: 0,
             unreported: Vec::new(),
@@ -233,9 +245,11 @@
         true
     }
 
-    /// Returns the connected workers of a pool.
+    /// Returns the connected workers of a pool outside evacuated domains.
     fn peers<'a>(&'a self, pool: &'a Name) -> impl Iterator<Item = (&'a Name, &'a Worker)> {
-        let connected = move |worker: &Worker| worker.down_since.is_none() && worker.serves(pool);
+        let connected = move |worker: &Worker| {
+            worker.down_since.is_none() && !worker.evacuated && worker.serves(pool)
+        };
         self.workers
             .iter()
             .filter(move |(_, worker)| connected(worker))
@@ -288,20 +302,22 @@
         self.offers = offers;
     }
 
+    /// Replaces the descriptions of the workers of all agents in evacuated domains.
+    pub fn set_evacuated_offers(&mut self, offers: Vec<WorkerInfo>) {
+        self.evacuated_offers = offers;
+    }
+
     /// Returns whether a known worker of the pool, linked or not, has the capacity and label for a
     /// task of the step.
     ///
     /// Returns `true` if no worker of the pool is known.
     pub fn could_ever_run(&self, pool: &Name, step: &Step) -> bool {
         let linked = self.workers.values().filter_map(|w| w.info.as_ref());
+        let offers = self.offers.iter().chain(&self.evacuated_offers);
         let mut known = false;
-        for info in linked.chain(&self.offers) {
-            if info.pool.as_ref() != Some(pool) {
-                continue;
-            }
-            known = true;
-            let labelled = step.label.as_ref().is_none_or(|l| info.labels.contains(l));
-            if labelled && step.needs.fits(info.capacity) {
+        for info in linked.chain(offers) {
+            known |= info.pool.as_ref() == Some(pool);
+            if info.could_run(pool, step) {
                 return true;
             }
         }
--- a/crates/core/src/pool/reach.rs
+++ b/crates/core/src/pool/reach.rs
@@ -12,7 +12,7 @@
 use indexmap::IndexMap;
 
 use super::Uptime;
-use super::fleet::Fleet;
+use super::fleet::{Fleet, Worker};
 use super::job::Resources;
 use super::msg::WorkerInfo;
 use super::subset::{Entries, LinkCount};
@@ -121,6 +121,12 @@
         agents.filter_map(|(name, agent)| Some((name, agent.offers.as_ref()?)))
     }
 
+    /// Returns the workers of all agents, linked or not, with their failure domains.
+    pub fn offers_by_domain(&self) -> impl Iterator<Item = (&Name, &WorkerInfo)> {
+        let agents = self.agents.values();
+        agents.filter_map(|agent| Some((&agent.domain, agent.offers.as_ref()?)))
+    }
+
     /// Returns the agents to keep a link to, with their addresses.
     pub fn targets(&self) -> impl Iterator<Item = (&Name, SocketAddr)> {
         let extra = self.extra.keys();
@@ -161,7 +167,14 @@
     fn drop_unused(&mut self, now: Uptime, short: bool, fleet: &Fleet) -> Vec<Name> {
         let mut dropped = Vec::new();
         let agents = &self.agents;
+        // Agents in evacuated domains are lost for longer than one shortage.
+        let lasting = short || fleet.evacuated() > 0;
         self.extra.retain(|name, used| {
+            let usable = |worker: &Worker| {
+                let domain = worker.domain.as_ref();
+                !domain.is_some_and(|domain| fleet.is_evacuated(domain))
+            };
+            let short = lasting && fleet.get(name).is_none_or(usable);
             if short || fleet.get(name).is_some_and(|worker| worker.runs > 0) {
                 *used = now;
             }
@@ -201,7 +214,10 @@
             .agents
             .iter()
             .filter(|(name, agent)| {
-                suits(agent) && !self.extra.contains_key(*name) && !linked(name)
+                suits(agent)
+                    && !fleet.is_evacuated(&agent.domain)
+                    && !self.extra.contains_key(*name)
+                    && !linked(name)
             })
             .map(|(name, _)| name)
             .collect();
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -1,5 +1,6 @@
 //! Scheduling of pooled jobs at an entry: admission, ordering, placement, retries and answers.
 
+mod evacuation;
 mod load;
 mod note;
 mod open_job;
@@ -196,6 +197,16 @@
             Self::decline(caller, &spec, Answer::Failed(reason), reason, out);
             return;
         }
+        if self.waits_for_evacuated(&queue.pool, &spec) {
+            let reason = evacuation::REASON;
+            let retry_after = RETRY_AFTER;
+            let answer = Answer::NotRun {
+                reason,
+                retry_after,
+            };
+            Self::decline(caller, &spec, answer, reason, out);
+            return;
+        }
         let hold = self.hold_for(id, out);
         let aim = scaled(spec.critical_path(), queue.slack) + queue.aim.min(MAX_TIME);
         let deadline = deadline.min(MAX_TIME);
--- a/crates/core/src/pool/scheduler/load.rs
+++ b/crates/core/src/pool/scheduler/load.rs
@@ -57,6 +57,13 @@
         *self.queues.entry(queue.clone()).or_default() += work;
     }
 
+    /// Multiplies the recent work by a share of the workers that is left.
+    pub(super) fn reduce(&mut self, share: f64) {
+        for work in self.queues.values_mut() {
+            *work *= share;
+        }
+    }
+
     fn total(&self) -> f64 {
         self.queues.values().sum()
     }
--- a/crates/core/src/pool/scheduler/note.rs
+++ b/crates/core/src/pool/scheduler/note.rs
@@ -183,6 +183,15 @@
         /// Its share of failed runs, 0 to 1.
         failing: f32,
     },
+    /// The evacuated failure domains changed.
+    EvacuationChanged {
+        /// CPU capacity of the linked workers that could get runs before, in thousandths of a core.
+        cpu_before: f64,
+        /// The same after it.
+        cpu_after: f64,
+        /// Number of jobs refused because only evacuated workers could run them.
+        refused: usize,
+    },
     /// This process was suspended or not scheduled for a long time.
     Stalled {
         /// Duration of the stall.
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use rw_core::ids::Name;
 use rw_core::msg::{Msg, Role};
 use rw_core::pool::catalog::{CallerLimits, Catalog, Queue, QueueTable};
@@ -159,6 +160,7 @@
         later_entries: Vec::new(),
         entry_count: 1,
         reach,
+        evacuated: IndexSet::new(),
         rng: fastrand::Rng::new(),
     };
     let mut events = Vec::new();
@@ -172,7 +174,7 @@
         let now = clock::uptime();
         daemon.scheduler.observe(now, &mut out);
         while let Ok(event) = rx.try_recv() {
-            daemon.on_thread_event(now, event)?;
+            daemon.on_thread_event(now, event, &mut out)?;
         }
         for event in events.drain(..) {
             daemon.on_net(now, event, &mut out);
@@ -211,6 +213,8 @@
     /// Number of entries in the member list, this one included, whatever their state.
     entry_count: usize,
     reach: Reach,
+    /// Evacuated failure domains by the state in force.
+    evacuated: IndexSet<Name>,
     rng: fastrand::Rng,
 }
 
@@ -233,9 +237,16 @@
         now >= since + DRAIN_TIME && idle || now >= since + DRAIN_LIMIT
     }
 
-    fn on_thread_event(&mut self, now: Uptime, event: ThreadEvent) -> Result<(), EntryError> {
+    fn on_thread_event(
+        &mut self,
+        now: Uptime,
+        event: ThreadEvent,
+        out: &mut Vec<Action>,
+    ) -> Result<(), EntryError> {
         match event {
             ThreadEvent::Cluster(ClusterEvent::State(state)) => {
+                // Before the entry listens: no run of a new process is sent to an evacuated domain.
+                self.on_evacuated(now, state.evacuated.keys().cloned().collect(), out);
                 if let Some(catalog) = &state.catalog {
                     self.on_catalog(catalog);
                     if let Some(addr) = self.pending_listen.take() {
@@ -277,12 +288,16 @@
             }
             NetEvent::LinkUp(conn, hello) => {
                 let (name, role) = (hello.node.name.clone(), hello.role);
+                let domain = hello.domain.clone();
                 let Some(replaced) = self.peers.on_link_up(conn, hello, &mut self.net) else {
                     return;
                 };
                 log::info!(peer:% = name, role:? = role, replaced = replaced; "link up");
                 match role {
-                    Role::Agent => self.scheduler.agent_up(now, &name, out),
+                    Role::Agent => {
+                        self.scheduler.agent_up(now, &name, out);
+                        self.scheduler.agent_domain(&name, &domain);
+                    }
                     Role::Entry => {
                         let keep_alive = KeepAlive::between_entries(self.entry_count);
                         self.net.set_keep_alive(conn, keep_alive);
--- a/crates/entry/src/pooled/links.rs
+++ b/crates/entry/src/pooled/links.rs
@@ -1,8 +1,11 @@
 //! Links of the entry: to the other entries, and to further agents while tasks find no worker.
 
+use indexmap::IndexSet;
 use rw_core::ids::Name;
 use rw_core::members::{Member, MemberState};
 use rw_core::msg::{Hello, Role};
+use rw_core::pool::msg::WorkerInfo;
+use rw_core::pool::scheduler::Action;
 use rw_core::pool::{KeepAlive, Uptime};
 
 use super::Daemon;
@@ -21,11 +24,33 @@
         let entries = members.iter().filter(later);
         self.later_entries = entries.map(|m| (m.node.name.clone(), m.link)).collect();
         self.reach.set_members(members);
-        let offers = self.reach.offers().map(|(_, info)| info.clone()).collect();
-        self.scheduler.set_offers(offers);
+        self.update_offers();
         self.set_targets(now);
     }
 
+    /// Follows a new set of evacuated failure domains.
+    pub(super) fn on_evacuated(
+        &mut self,
+        now: Uptime,
+        domains: IndexSet<Name>,
+        out: &mut Vec<Action>,
+    ) {
+        self.evacuated.clone_from(&domains);
+        self.update_offers();
+        self.scheduler.set_evacuated(now, domains, out);
+    }
+
+    fn update_offers(&mut self) {
+        let offers = self.reach.offers_by_domain();
+        let (evacuated, offers): (Vec<_>, Vec<_>) =
+            offers.partition(|(domain, _)| self.evacuated.contains(*domain));
+        let infos = |offers: Vec<(&Name, &WorkerInfo)>| -> Vec<WorkerInfo> {
+            offers.into_iter().map(|(_, info)| info.clone()).collect()
+        };
+        self.scheduler.set_offers(infos(offers));
+        self.scheduler.set_evacuated_offers(infos(evacuated));
+    }
+
     /// Adapts the keep-alive of the links to other entries to the number of entries.
     fn set_entry_count(&mut self, entries: usize) {
         if entries == self.entry_count {
@@ -50,7 +75,8 @@
 
     /// Opens links to further agents while tasks find no worker, and closes those of no more use.
     pub(super) fn update_reach(&mut self, now: Uptime) {
-        let shortage = self.scheduler.shortage();
+        let by_evacuation = || self.scheduler.shortage_by_evacuation();
+        let shortage = self.scheduler.shortage().or_else(by_evacuation);
         let fleet = self.scheduler.fleet();
         let Some(closing) = self
             .reach
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -146,6 +146,14 @@
         Note::Ejected { worker, failing } => {
             log::warn!(worker:% = worker, failing = failing; "worker ejected");
         }
+        Note::EvacuationChanged {
+            cpu_before,
+            cpu_after,
+            refused,
+        } => {
+            log::info!(cpu_before = cpu_before, cpu_after = cpu_after, refused = refused;
+                "workers in reach changed with the evacuated domains");
+        }
         Note::Stalled { time, jobs } => {
             log::warn!(time_ms = ms(*time), jobs = jobs; "process was suspended; jobs aborted");
         }
@@ -201,6 +209,7 @@
         metrics::HELD.with_label_values(&[what]).set(value as i64);
     };
     let (conns, refused) = net.counts();
+    set("evacuated_workers", scheduler.fleet().evacuated());
     set("open_jobs", scheduler.open_jobs());
     set("ejected_workers", scheduler.fleet().ejected());
     set("connections", conns);
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -201,9 +201,10 @@
         {
             return;
         }
-        let before = shared.state.replace(state.clone());
+        let newer = state.clone();
+        let before = shared.state.replace(state);
         drop(shared);
-        note_evacuated(before.as_deref(), &state);
+        note_evacuated(before.as_deref(), &newer);
         let _ = self.tx.send(Command::Revision(revision));
     }
 
