--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -8,6 +8,7 @@
 
 mod answers;
 mod call;
+mod evacuation;
 mod lists;
 mod note;
 mod owners;
@@ -25,6 +26,7 @@
 use crate::ids::{Name, NodeRef};
 
 pub use call::{Call, CallTarget, EndedRow, Reply, RunningRow, StartRefusal};
+use evacuation::DomainState;
 pub use note::Note;
 pub use worker::{Heartbeat, HeartbeatOutcome, HeartbeatState};
 
@@ -291,17 +293,6 @@
     domain: DomainState,
 }
 
-/// What the agent knows of the evacuation of its own failure domain.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum DomainState {
-    /// It is not evacuated.
-    Open,
-    /// It is evacuated.
-    Evacuated,
-    /// Nothing yet: no cluster state has arrived since the start.
-    Unknown,
-}
-
 impl Driver {
     /// Creates the state of an agent process that just started. `lease` is the longest lease that
     /// the worker grants.
@@ -375,35 +366,6 @@
         self.refuse_queued(NotStarted::NoWorker, out);
     }
 
-    /// Lets no run start before [`Driver::set_evacuated`] is called.
-    pub fn await_domain_state(&mut self) {
-        self.domain = DomainState::Unknown;
-    }
-
-    /// Sets whether the agent's own failure domain is evacuated. If it is, queued runs and every
-    /// further start are refused, also those of entries that have not heard of it; running ones go
-    /// on.
-    pub fn set_evacuated(&mut self, now: Uptime, evacuated: bool, out: &mut Vec<Action>) {
-        let domain = if evacuated {
-            DomainState::Evacuated
-        } else {
-            DomainState::Open
-        };
-        if domain == self.domain {
-            return;
-        }
-        let was_unknown = self.domain == DomainState::Unknown;
-        self.domain = domain;
-        if evacuated || !was_unknown {
-            let runs = self.runs.len();
-            out.push(Action::Note(Note::DomainEvacuated { evacuated, runs }));
-        }
-        if evacuated {
-            self.refuse_queued(NotStarted::NoWorker, out);
-        }
-        self.report(now, out);
-    }
-
     /// Handles timeouts and other work that is due, then sends reports to entries.
     pub fn tick(&mut self, now: Uptime, out: &mut Vec<Action>) {
         self.expire_calls(now, out);
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -103,7 +103,8 @@
     workers: IndexMap<Name, Worker>,
     /// Median ratio of run time to estimate, by pool.
     medians: IndexMap<Name, f64>,
-    /// Capacities and labels of the workers of all agents by the member list, linked or not.
+    /// Capacities and labels of the workers of all agents by the member list, linked or not, but for
+    /// those in evacuated failure domains.
     offers: Vec<WorkerInfo>,
     /// As `offers`, of the agents in evacuated failure domains.
     evacuated_offers: Vec<WorkerInfo>,
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -15,7 +15,7 @@
 use fastrand::Rng;
 use indexmap::IndexMap;
 
-pub use note::{Action, Answer, Note, Placed};
+pub use note::{Action, Answer, EvacuationEffect, Note, Placed};
 
 use load::PoolLoad;
 use open_job::{Hold, OpenJob, Rank, Task, TaskState, Tier};
@@ -24,7 +24,7 @@
 use super::catalog::Queue;
 use super::fleet::Fleet;
 use super::job::{Job, JobId, Resources, RunId};
-use super::msg::{Peer, ToAgent, WorkerInfo};
+use super::msg::{Peer, ToAgent};
 use super::owners::{MAX_RUN_TIME_AFTER_LOSS, Owners};
 use super::{MAX_TIME, Uptime, scaled};
 use crate::ids::Name;
@@ -110,11 +110,6 @@
         &self.fleet
     }
 
-    /// Replaces the descriptions of the workers of all agents, linked or not.
-    pub fn set_offers(&mut self, offers: Vec<WorkerInfo>) {
-        self.fleet.set_offers(offers);
-    }
-
     /// Returns the number of jobs that are not answered yet.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len()
@@ -198,13 +193,13 @@
             return;
         }
         if self.waits_for_evacuated(&queue.pool, &spec) {
-            let reason = evacuation::REASON;
-            let retry_after = RETRY_AFTER;
-            let answer = Answer::NotRun {
-                reason,
-                retry_after,
-            };
-            Self::decline(caller, &spec, answer, reason, out);
+            Self::decline(
+                caller,
+                &spec,
+                evacuation::refusal(),
+                evacuation::REASON,
+                out,
+            );
             return;
         }
         let hold = self.hold_for(id, out);
--- a/crates/core/src/pool/scheduler/evacuation.rs
+++ b/crates/core/src/pool/scheduler/evacuation.rs
@@ -7,17 +7,31 @@
 use super::super::job::{Job, Resources};
 use super::super::msg::WorkerInfo;
 use super::super::reach::Shortage;
-use super::{Action, JobId, Name, Note, Scheduler};
+use super::{Action, Answer, EvacuationEffect, JobId, Name, Note, RETRY_AFTER, Scheduler};
 
 /// Why a job is refused that only workers of evacuated domains could run.
 pub(super) const REASON: &str = "all workers that could run a task of it are being evacuated";
 
+/// Returns the answer to a job that is refused for [`REASON`].
+pub(super) fn refusal() -> Answer {
+    Answer::NotRun {
+        reason: REASON,
+        retry_after: RETRY_AFTER,
+    }
+}
+
 impl Scheduler {
     /// Records the failure domain of a linked agent. To be called after [`Scheduler::agent_up`].
     pub fn agent_domain(&mut self, name: &Name, domain: &Name) {
         self.fleet.set_domain(name, domain);
     }
 
+    /// Replaces the descriptions of the workers of all agents, linked or not, but
+    /// for those in evacuated domains.
+    pub fn set_offers(&mut self, offers: Vec<WorkerInfo>) {
+        self.fleet.set_offers(offers);
+    }
+
     /// Replaces the descriptions of the workers of all agents in evacuated domains.
     pub fn set_evacuated_offers(&mut self, offers: Vec<WorkerInfo>) {
         self.fleet.set_evacuated_offers(offers);
@@ -48,11 +62,11 @@
             })
             .map(|(id, _)| *id)
             .collect();
-        out.push(Action::Note(Note::EvacuationChanged {
+        out.push(Action::Note(Note::EvacuationChanged(EvacuationEffect {
             cpu_before: before.values().sum(),
             cpu_after: after.values().sum(),
             refused: hopeless.len(),
-        }));
+        })));
         for id in hopeless {
             self.abort(now, id, REASON, out);
         }
--- a/crates/core/src/pool/scheduler/note.rs
+++ b/crates/core/src/pool/scheduler/note.rs
@@ -54,6 +54,17 @@
     pub waited: Duration,
 }
 
+/// What a change of the evacuated failure domains meant for an entry.
+#[derive(Clone, Copy, Debug)]
+pub struct EvacuationEffect {
+    /// CPU capacity of the linked workers that could get runs before, in thousandths of a core.
+    pub cpu_before: f64,
+    /// The same after it.
+    pub cpu_after: f64,
+    /// Number of jobs refused because only evacuated workers could run them.
+    pub refused: usize,
+}
+
 /// A decision or observation to log and count.
 #[derive(Clone, Debug)]
 pub enum Note {
@@ -184,14 +195,7 @@
         failing: f32,
     },
     /// The evacuated failure domains changed.
-    EvacuationChanged {
-        /// CPU capacity of the linked workers that could get runs before, in thousandths of a core.
-        cpu_before: f64,
-        /// The same after it.
-        cpu_after: f64,
-        /// Number of jobs refused because only evacuated workers could run them.
-        refused: usize,
-    },
+    EvacuationChanged(EvacuationEffect),
     /// This process was suspended or not scheduled for a long time.
     Stalled {
         /// Duration of the stall.
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -7,7 +7,7 @@
 use prometheus::{HistogramVec, IntCounter, IntCounterVec};
 use rw_core::ids::Name;
 use rw_core::pool::job::{EndEvidence, RunEnd, RunId};
-use rw_core::pool::scheduler::{Answer, Note, Placed, Scheduler};
+use rw_core::pool::scheduler::{Answer, EvacuationEffect, Note, Placed, Scheduler};
 use rw_host::metrics;
 use rw_host::net::Net;
 
@@ -146,20 +146,18 @@
         Note::Ejected { worker, failing } => {
             log::warn!(worker:% = worker, failing = failing; "worker ejected");
         }
-        Note::EvacuationChanged {
-            cpu_before,
-            cpu_after,
-            refused,
-        } => {
-            log::info!(cpu_before = cpu_before, cpu_after = cpu_after, refused = refused;
-                "workers in reach changed with the evacuated domains");
-        }
+        Note::EvacuationChanged(effect) => record_evacuation(*effect),
         Note::Stalled { time, jobs } => {
             log::warn!(time_ms = ms(*time), jobs = jobs; "process was suspended; jobs aborted");
         }
     }
 }
 
+fn record_evacuation(effect: EvacuationEffect) {
+    log::info!(cpu_before = effect.cpu_before, cpu_after = effect.cpu_after,
+        refused = effect.refused; "workers in reach changed with the evacuated domains");
+}
+
 fn record_run_end(run: RunId, worker: &Name, (end, evidence): (RunEnd, EndEvidence), ran_ms: u32) {
     let kind = format!("{end:?}");
     RUNS.with_label_values(&[&kind]).inc();
