Cold workers count as slower and get few runs at first

Change: agents tell entries for how long (ToEntry::Cold, at the end of the enum, sent only when a worker is cold), with the factor of the settings or 2; entries count the larger of it and the pace in the choice, and send such a worker one run at a time, one more with each that it has completed; the pace learned meanwhile is forgotten when the time is over.

--- a/crates/agent/src/pooled.rs
+++ b/crates/agent/src/pooled.rs
@@ -73,6 +73,8 @@
     pub worker: SocketAddr,
     /// Longest lease that the worker grants.
     pub max_lease: Duration,
+    /// Factor on the run time of a task on a worker that has just started, if it is known.
+    pub cold_factor: Option<f64>,
     /// What the machine grants this process.
     pub limits: MachineLimits,
     /// The worker's protocol.
@@ -127,6 +129,9 @@
         announced: None,
     };
     daemon.driver.await_domain_state();
+    if let Some(factor) = setup.cold_factor {
+        daemon.driver.set_cold_factor(factor);
+    }
     let mut events = Vec::new();
     let mut out = Vec::new();
     loop {
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -8,6 +8,7 @@
 
 mod answers;
 mod call;
+mod cold;
 mod evacuation;
 mod lists;
 mod note;
@@ -182,6 +183,8 @@
     last_report: Option<(Uptime, CapacityReport)>,
     /// Whether the current [`WorkerInfo`] was sent to it.
     info_sent: bool,
+    /// Until when the worker is cold, as it was sent to the entry; `None` if warm.
+    cold_sent: Option<Uptime>,
     /// Since when the link is to be closed; `None` if it stays.
     retiring_since: Option<Uptime>,
 }
@@ -208,6 +211,8 @@
     is_leaving: bool,
     /// Whether it has answered a call, which proves that it serves the worker's address.
     is_proven: bool,
+    /// Until when it is slow after its start; `None` if it is warm.
+    cold_until: Option<Uptime>,
     /// Fencing token of the calls to it: its start time in Unix milliseconds, or more if a token was
     /// as high before.
     token: u64,
@@ -291,6 +296,8 @@
     /// Whether the process is shutting down.
     draining: bool,
     domain: DomainState,
+    /// Factor on the run time of tasks on a cold worker.
+    cold_factor: f32,
 }
 
 impl Driver {
@@ -325,6 +332,7 @@
             failure_rate: 0.0,
             draining: false,
             domain: DomainState::Open,
+            cold_factor: cold::DEFAULT_FACTOR,
         }
     }
 
@@ -374,6 +382,7 @@
         self.end_runs_of_expired_lease(now, out);
         self.stop_orphans(now, out);
         self.retry_stops(now, out);
+        self.end_cold(now);
         self.start_queued(now, out);
         self.forget_left_worker(now, out);
         self.identify_candidate(now, out);
--- a/crates/core/src/pool/driver/owners.rs
+++ b/crates/core/src/pool/driver/owners.rs
@@ -37,6 +37,7 @@
                 waiting_jobs: 0,
                 last_report: None,
                 info_sent: false,
+                cold_sent: None,
                 retiring_since: None,
             },
         );
@@ -223,6 +224,7 @@
         let queued = queued_runs.clone().count() as u32;
         let free = queued_runs.fold(self.free(), |free, run| free.minus(run.needs));
         let info = self.worker.as_ref().map(|worker| worker.info.clone());
+        let cold_until = self.worker.as_ref().and_then(|worker| worker.cold_until);
         let large_change = info
             .as_ref()
             .map_or(0, |info| info.capacity.cpu_milli / LARGE_CHANGE_DIVISOR);
@@ -242,6 +244,9 @@
                 entry.info_sent = true;
                 out.push(Action::Send(name.clone(), ToEntry::Worker(info.clone())));
             }
+            if let Some(msg) = entry.cold_news(now, cold_until, self.cold_factor) {
+                out.push(Action::Send(name.clone(), msg));
+            }
             let report = CapacityReport {
                 starts_received: entry.starts_received,
                 open: open && entry.retiring_since.is_none(),
--- a/crates/core/src/pool/driver/worker.rs
+++ b/crates/core/src/pool/driver/worker.rs
@@ -1,11 +1,14 @@
 //! The worker's heartbeats: its incarnation, its capacity, and whether it drains or shuts down.
 
+use std::time::Duration;
+
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
 use super::super::Uptime;
 use super::super::job::{EndEvidence, Resources, RunEnd, RunId};
 use super::super::msg::{NotStarted, WorkerInfo};
+use super::cold::cold_until;
 use super::{
     Action, Call, Candidate, Driver, MAX_CALL_TIMEOUT, Name, Note, PendingCall, Reply, State,
     UNRESPONSIVE_LIST_INTERVAL, Worker,
@@ -49,6 +52,8 @@
     pub labels: Vec<Name>,
     /// The worker's clock in milliseconds, if stated.
     pub clock_ms: Option<u64>,
+    /// How much longer the worker is slow after its start; 0 if it is warm or states nothing.
+    pub cold_left: Duration,
 }
 
 /// The result of [`Driver::on_heartbeat`].
@@ -263,6 +268,7 @@
             return;
         };
         worker.clock = clock;
+        worker.cold_until = cold_until(now, heartbeat.cold_left);
         worker.last_heartbeat = heartbeat.number;
         worker.is_leaving = false;
         let info = WorkerInfo {
@@ -329,6 +335,7 @@
             listed: false,
             is_leaving: false,
             is_proven: false,
+            cold_until: cold_until(now, heartbeat.cold_left),
             token: heartbeat.start_time_ms,
         });
         self.pace = 0.0;
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -1,6 +1,7 @@
 //! The workers known to one entry: free capacity, speed and health.
 
 mod choice;
+mod cold;
 mod evacuated;
 
 use std::time::Duration;
@@ -46,6 +47,8 @@
     pub reported: Uptime,
     /// Ratio of run time to estimate, from the latest report.
     run_factor: f64,
+    /// For how long it is slow after its start; `None` if it is warm.
+    cold: Option<cold::ColdStart>,
     /// The failure domain of its agent; `None` if it is not known.
     pub domain: Option<Name>,
     /// Whether that domain is evacuated.
@@ -140,6 +143,7 @@
             report: CapacityReport::default(),
             reported: now,
             run_factor: 1.0,
+            cold: None,
             domain: None,
             evacuated: false,
             down_since: None,
@@ -155,6 +159,7 @@
         worker.down_since = None;
         worker.starts_sent = 0;
         worker.unreported.clear();
+        worker.cold = None;
         worker.report.open = false;
         worker.out_of_capacity = false;
     }
@@ -405,6 +410,7 @@
     pub fn run_completed(&mut self, now: Uptime, name: &Name) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.refusals = 0;
+            worker.warm_up();
             if worker.ejected_until.is_some() {
                 worker.ejected_until = Some(now);
                 worker.retry_interval = MIN_EJECTION_TIME;
--- a/crates/core/src/pool/fleet/choice.rs
+++ b/crates/core/src/pool/fleet/choice.rs
@@ -116,7 +116,7 @@
             if !worker.accepts_runs(now) || !worker.can_run(now, need) || !allowed(name) {
                 continue;
             }
-            let factor = worker.expected_run_factor(need.step);
+            let factor = worker.expected_run_factor(now, need.step);
             let expected = scaled(need.step.estimate, factor);
             if need
                 .in_time
@@ -132,7 +132,10 @@
         }
         best.map(|(_, name, worker)| Choice {
             worker: name.clone(),
-            expected: scaled(need.step.estimate, worker.expected_run_factor(need.step)),
+            expected: scaled(
+                need.step.estimate,
+                worker.expected_run_factor(now, need.step),
+            ),
             free: worker.free(),
             age: now.saturating_sub(worker.reported),
         })
@@ -140,12 +143,14 @@
 }
 
 impl Worker {
-    /// Returns whether it has the free capacity, pool and label for the task and is not ejected.
+    /// Returns whether it has the free capacity, pool and label for the task, is not ejected, and not
+    /// too cold for a further run.
     fn can_run(&self, now: Uptime, need: Need<'_>) -> bool {
         need.step.needs.fits(self.free())
             && self.serves(need.pool)
             && need.step.label.as_ref().is_none_or(|l| self.has_label(l))
             && self.may_be_tried(now)
+            && self.is_warm_enough(now)
     }
 
     /// Returns whether it is not ejected, or is due for a try. An ejected worker gets one run at a
@@ -156,10 +161,13 @@
     }
 
     /// Returns the expected ratio of run time to estimate of a task on this worker.
-    fn expected_run_factor(&self, step: &Step) -> f64 {
+    ///
+    /// The pace of a cold worker shows part of the factor on its runs already.
+    fn expected_run_factor(&self, now: Uptime, step: &Step) -> f64 {
         let other_rack = step.rack.as_ref().is_some_and(|rack| !self.has_label(rack));
         let rack_factor = if other_rack { OTHER_RACK_FACTOR } else { 1.0 };
-        (self.run_factor * rack_factor).min(MAX_RUN_FACTOR)
+        let run_factor = self.run_factor.max(self.cold_factor(now));
+        (run_factor * rack_factor).min(MAX_RUN_FACTOR)
     }
 
     /// Returns the factor, at least 1, by which failures and utilization worsen its score.
--- a/crates/core/src/pool/msg.rs
+++ b/crates/core/src/pool/msg.rs
@@ -35,6 +35,7 @@
             Self::ToEntry(ToEntry::Behind { .. }) => "pool-behind",
             Self::ToEntry(ToEntry::Forecast(_)) => "pool-forecast",
             Self::ToEntry(ToEntry::Reserved { .. }) => "pool-reserved",
+            Self::ToEntry(ToEntry::Cold(_)) => "pool-cold",
             Self::Peer(Peer::Load(_)) => "pool-load",
             Self::Peer(_) => "pool-peer",
         }
@@ -173,6 +174,18 @@
         /// Whether the room is reserved.
         granted: bool,
     },
+    /// The worker is slow for a time after its start. Sent on a new link and when the time differs
+    /// from what was sent before.
+    Cold(Cold),
+}
+
+/// For how long a worker is slow after its start, and by which factor.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Cold {
+    /// Time left in milliseconds; 0 if it is warm.
+    pub left_ms: u32,
+    /// Factor on run times meanwhile.
+    pub factor: f32,
 }
 
 /// Free capacity and health of a worker.
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -92,6 +92,7 @@
             } => {
                 self.on_behind(now, name, run, (ran_ms, left_ms), out);
             }
+            ToEntry::Cold(cold) => self.fleet.on_cold(now, name, cold),
             ToEntry::Forecast(_) | ToEntry::Reserved { .. } => {}
         }
     }
--- a/crates/core/tests/support/driver.rs
+++ b/crates/core/tests/support/driver.rs
@@ -63,6 +63,7 @@
         },
         labels: Vec::new(),
         clock_ms: Some(50_000),
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/support/pool/worker.rs
+++ b/crates/core/tests/support/pool/worker.rs
@@ -124,6 +124,7 @@
             },
             labels: vec!["r1".into()],
             clock_ms: Some(self.clock(now)),
+            cold_left: Duration::ZERO,
         }
     }
 
