--- a/crates/agent/src/event_loop.rs
+++ b/crates/agent/src/event_loop.rs
@@ -114,6 +114,7 @@
     })?;
     let end_tx = tx.clone();
     let mut core = Agent::new(linker.hello.node.clone(), Instant::now());
+    core.set_domain(linker.hello.domain.clone());
     core.set_queue_here(agent.queue_here);
     let event_loop = EventLoop {
         agent: core,
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -95,6 +95,8 @@
     /// Starts that are queued at the agent for a slot; `None` unless this mode, a baseline for
     /// measurements, is enabled.
     start_queue: Option<VecDeque<(Name, Start)>>,
+    /// Its failure domain, if it is known.
+    domain: Option<Name>,
 }
 
 impl Agent {
@@ -116,6 +118,7 @@
             links: Vec::new(),
             duplicate_starts: 0,
             start_queue: None,
+            domain: None,
         }
     }
 
@@ -253,8 +256,7 @@
 
     /// Returns the current offer, with the credit epoch.
     pub fn offer(&self) -> Offer {
-        let leaving =
-            self.leave_epoch.is_some() || self.cluster.drained.contains_key(&self.node.name);
+        let leaving = self.takes_no_work();
         let mut offer = Offer {
             epoch: self.epoch,
             services: Vec::new(),
--- a/crates/core/src/agent/starts.rs
+++ b/crates/core/src/agent/starts.rs
@@ -11,6 +11,20 @@
 use super::{Action, Agent, Run};
 
 impl Agent {
+    /// Sets the agent's failure domain, whose evacuation it follows.
+    pub fn set_domain(&mut self, domain: Name) {
+        self.domain = Some(domain);
+    }
+
+    /// Returns whether the worker gets no new work: the agent leaves, or an operator drained the
+    /// worker or evacuated its failure domain.
+    pub(super) fn takes_no_work(&self) -> bool {
+        let domain = self.domain.as_ref();
+        self.leave_epoch.is_some()
+            || self.cluster.drained.contains_key(&self.node.name)
+            || domain.is_some_and(|domain| self.cluster.evacuated.contains_key(domain))
+    }
+
     /// Handles a start from an entry: runs its task, or replies with the reason for refusing it.
     pub(super) fn on_start(
         &mut self,
--- a/crates/core/tests/agent_leaves.rs
+++ b/crates/core/tests/agent_leaves.rs
@@ -140,3 +140,22 @@
     let seen = dispatcher::Action::Send("w".into(), ToAgent::OfferSeen { epoch: 7 });
     assert_eq!(out, vec![seen]);
 }
+
+/// Guards against tasks that are sent on to the workers of an evacuated failure domain, and against a
+/// domain that is not used again after it was taken back.
+#[test]
+fn offers_nothing_while_its_failure_domain_is_evacuated() {
+    let (mut core, mut out) = agent(Instant::now());
+    core.set_domain("d".into());
+    let mut cluster = ClusterState::clone(core.cluster());
+    for (change, leaving) in [
+        (Change::Evacuate { domain: "d".into() }, true),
+        (Change::Return { domain: "d".into() }, false),
+    ] {
+        cluster.apply(u64::MAX, change);
+        core.on_config(Arc::new(cluster.clone()), &mut out);
+        core.tick(Instant::now(), WALL, &mut out);
+        let offer = last_offer(&out);
+        assert_eq!((offer.leaving, offer.slots == 0), (leaving, leaving));
+    }
+}
