Warm workers keep their learned pace; a refused start is not queued in an evacuated domain

And a start that a full worker refuses after an evacuation went back to the queue, which nothing empties then. Change: the stated factor counts only while the worker is cold; such a start is refused.

--- a/crates/core/src/pool/driver/starts.rs
+++ b/crates/core/src/pool/driver/starts.rs
@@ -160,6 +160,10 @@
         out: &mut Vec<Action>,
     ) {
         match why {
+            // Nothing would take the run from the queue while the domain is evacuated.
+            StartRefusal::NoCapacity if self.domain != DomainState::Open => {
+                self.refuse(id, NotStarted::NoWorker, out);
+            }
             StartRefusal::NoCapacity => {
                 if let Some(run) = self.runs.get_mut(&id)
                     && run.state == State::Starting
--- a/crates/core/src/pool/fleet/choice.rs
+++ b/crates/core/src/pool/fleet/choice.rs
@@ -161,13 +161,10 @@
     }
 
     /// Returns the expected ratio of run time to estimate of a task on this worker.
-    ///
-    /// The pace of a cold worker shows part of the factor on its runs already.
     fn expected_run_factor(&self, now: Uptime, step: &Step) -> f64 {
         let other_rack = step.rack.as_ref().is_some_and(|rack| !self.has_label(rack));
         let rack_factor = if other_rack { OTHER_RACK_FACTOR } else { 1.0 };
-        let run_factor = self.run_factor.max(self.cold_factor(now));
-        (run_factor * rack_factor).min(MAX_RUN_FACTOR)
+        (self.present_run_factor(now) * rack_factor).min(MAX_RUN_FACTOR)
     }
 
     /// Returns the factor, at least 1, by which failures and utilization worsen its score.
--- a/crates/core/src/pool/fleet/cold.rs
+++ b/crates/core/src/pool/fleet/cold.rs
@@ -47,9 +47,11 @@
         self.cold.as_ref().filter(|cold| now < cold.until)
     }
 
-    /// Returns the factor on run times while it is cold; 1 if it is warm.
-    pub(super) fn cold_factor(&self, now: Uptime) -> f64 {
-        self.cold(now).map_or(1.0, |cold| cold.factor)
+    /// Returns the ratio of run time to estimate: the learned one or, while the worker is cold, the
+    /// larger of it and the stated factor. The pace of a cold worker shows part of that already.
+    pub(super) fn present_run_factor(&self, now: Uptime) -> f64 {
+        self.cold(now)
+            .map_or(self.run_factor, |cold| self.run_factor.max(cold.factor))
     }
 
     /// Returns whether it is warm, or has fewer runs of this entry than a cold worker may have.
--- a/crates/core/tests/pool_cold.rs
+++ b/crates/core/tests/pool_cold.rs
@@ -97,6 +97,21 @@
     assert_eq!(choose(&fleet, NOW, None), Some(("cold".into(), 250 * MS)));
 }
 
+/// Guards against fast workers that count as no faster than estimated, cold or not.
+#[test]
+fn a_warm_worker_keeps_its_learned_pace() {
+    let mut fleet = fleet(&["fast"]);
+    let report = CapacityReport {
+        open: true,
+        free: CAPACITY,
+        pace: -0.7,
+        ..CapacityReport::default()
+    };
+    fleet.on_capacity_report(NOW, &"fast".into(), report);
+    let chosen = choose(&fleet, NOW, Some(60 * MS));
+    assert!(chosen.is_some_and(|(_, expected)| expected < 60 * MS));
+}
+
 /// Guards against a cold worker that is filled before it has completed anything.
 #[test]
 fn a_cold_worker_gets_one_run_more_with_each_that_it_has_completed() {
--- a/crates/core/tests/pool_evacuation.rs
+++ b/crates/core/tests/pool_evacuation.rs
@@ -14,6 +14,7 @@
 use rw_core::msg::Role;
 use rw_core::pool::Uptime;
 use rw_core::pool::catalog::Queue;
+use rw_core::pool::driver::{Reply, StartRefusal};
 use rw_core::pool::job::{Job, JobId, Resources, RunEnd, Step};
 use rw_core::pool::msg::{CapacityReport, NotStarted, ToAgent, ToEntry, WorkerInfo};
 use rw_core::pool::reach::Reach;
@@ -271,6 +272,18 @@
     assert_eq!(agent.ended(run(1, 1)), Some(RunEnd::Done));
 }
 
+/// Guards against a run that stays queued without an answer: its start was refused by a full worker
+/// after the order.
+#[test]
+fn a_start_that_a_full_worker_refuses_after_the_order_is_not_queued_again() {
+    let mut agent = Harness::new();
+    agent.start(run(1, 1), 1000, 5000);
+    let (call, _) = agent.start_call().expect("the run is started");
+    agent.driver.set_evacuated(agent.now, true, &mut agent.out);
+    agent.answer(call, Reply::Refused(StartRefusal::NoCapacity));
+    assert_eq!(agent.refusal(run(1, 1)), Some(NotStarted::NoWorker));
+}
+
 /// Guards against an agent that stays closed, or unannounced, after its domain was taken back.
 #[test]
 fn an_agent_whose_domain_is_taken_back_reports_it_and_starts_runs() {
