--- a/crates/agent/src/pooled.rs
+++ b/crates/agent/src/pooled.rs
@@ -73,6 +73,8 @@
     pub worker: SocketAddr,
     /// Longest lease that the worker grants.
     pub max_lease: Duration,
+    /// Factor on the run time of a task on a worker that has just started, if it is known.
+    pub cold_factor: Option<f64>,
     /// What the machine grants this process.
     pub limits: MachineLimits,
     /// The worker's protocol.
@@ -126,6 +128,10 @@
         link_count: LinkCount::default(),
         announced: None,
     };
+    daemon.driver.await_domain_state();
+    if let Some(factor) = setup.cold_factor {
+        daemon.driver.set_cold_factor(factor);
+    }
     let mut events = Vec::new();
     let mut out = Vec::new();
     loop {
@@ -183,6 +189,9 @@
                     let pools = catalog.pools.iter().map(|pool| pool.name.clone());
                     self.driver.set_pools(pools.collect());
                 }
+                let domain = &self.cluster.hello.domain;
+                let evacuated = state.evacuated.contains_key(domain);
+                self.driver.set_evacuated(now, evacuated, out);
             }
             ThreadEvent::Cluster(ClusterEvent::Members(members)) => self.on_members(now, &members),
             ThreadEvent::Shutdown => {
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -8,6 +8,8 @@
 
 mod answers;
 mod call;
+mod cold;
+mod evacuation;
 mod lists;
 mod note;
 mod owners;
@@ -26,6 +28,7 @@
 use crate::ids::{Name, NodeRef};
 
 pub use call::{Call, CallTarget, EndedRow, Reply, RunningRow, StartRefusal};
+use evacuation::DomainState;
 pub use note::Note;
 use speed::Progress;
 
@@ -191,6 +194,8 @@
     last_report: Option<(Uptime, CapacityReport)>,
     /// Whether the current [`WorkerInfo`] was sent to it.
     info_sent: bool,
+    /// Until when the worker is cold, as it was sent to the entry; `None` if warm.
+    cold_sent: Option<Uptime>,
     /// Since when the link is to be closed; `None` if it stays.
     retiring_since: Option<Uptime>,
 }
@@ -217,6 +222,8 @@
     is_leaving: bool,
     /// Whether it has answered a call, which proves that it serves the worker's address.
     is_proven: bool,
+    /// Until when it is slow after its start; `None` if it is warm.
+    cold_until: Option<Uptime>,
     /// Fencing token of the calls to it: its start time in Unix milliseconds, or more if a token was
     /// as high before.
     token: u64,
@@ -307,6 +314,9 @@
     failure_rate: f32,
     /// Whether the process is shutting down.
     draining: bool,
+    domain: DomainState,
+    /// Factor on the run time of tasks on a cold worker.
+    cold_factor: f32,
 }
 
 impl Driver {
@@ -344,6 +354,8 @@
             slowed: None,
             failure_rate: 0.0,
             draining: false,
+            domain: DomainState::Open,
+            cold_factor: cold::DEFAULT_FACTOR,
         }
     }
 
@@ -393,6 +405,7 @@
         self.end_runs_of_expired_lease(now, out);
         self.stop_orphans(now, out);
         self.retry_stops(now, out);
+        self.end_cold(now);
         self.start_queued(now, out);
         self.forget_left_worker(now, out);
         self.identify_candidate(now, out);
@@ -426,6 +439,7 @@
     fn accepts_runs(&self) -> bool {
         let ready = |worker: &Worker| worker.listed && worker.state == HeartbeatState::Ready;
         !self.draining
+            && self.domain == DomainState::Open
             && !self.unresponsive
             && !self.has_orphans()
             && self.worker.as_ref().is_some_and(ready)
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -1,6 +1,8 @@
 //! The workers known to one entry: free capacity, speed and health.
 
 mod choice;
+mod cold;
+mod evacuated;
 
 use std::time::Duration;
 
@@ -45,6 +47,12 @@
     pub reported: Uptime,
     /// Ratio of run time to estimate, from the latest report.
     run_factor: f64,
+    /// For how long it is slow after its start; `None` if it is warm.
+    cold: Option<cold::ColdStart>,
+    /// The failure domain of its agent; `None` if it is not known.
+    pub domain: Option<Name>,
+    /// Whether that domain is evacuated.
+    evacuated: bool,
     /// Time at which its agent's link was lost; `None` while it is up.
     pub down_since: Option<Uptime>,
     /// Number of starts sent on the present link.
@@ -75,7 +83,8 @@
     /// Returns whether it may be sent runs now.
     fn accepts_runs(&self, now: Uptime) -> bool {
         let refusing = self.out_of_capacity || now < self.avoid_until;
-        self.down_since.is_none() && self.report.open && !refusing && self.info.is_some()
+        let linked = self.down_since.is_none() && self.info.is_some();
+        linked && self.report.open && !refusing && !self.evacuated
     }
 
     fn serves(&self, pool: &Name) -> bool {
@@ -97,8 +106,13 @@
     workers: IndexMap<Name, Worker>,
     /// Median ratio of run time to estimate, by pool.
     medians: IndexMap<Name, f64>,
-    /// Capacities and labels of the workers of all agents by the member list, linked or not.
+    /// Capacities and labels of the workers of all agents by the member list, linked or not, but for
+    /// those in evacuated failure domains.
     offers: Vec<WorkerInfo>,
+    /// As `offers`, of the agents in evacuated failure domains.
+    evacuated_offers: Vec<WorkerInfo>,
+    /// Failure domains whose workers get no new runs.
+    evacuated: IndexSet<Name>,
     /// Workers that have gained capacity, or accept runs again, since the last
     /// [`Fleet::take_freed`].
     freed: Vec<Name>,
@@ -129,6 +143,9 @@
             report: CapacityReport::default(),
             reported: now,
             run_factor: 1.0,
+            cold: None,
+            domain: None,
+            evacuated: false,
             down_since: None,
             starts_sent: 0,
             unreported: Vec::new(),
@@ -142,6 +159,7 @@
         worker.down_since = None;
         worker.starts_sent = 0;
         worker.unreported.clear();
+        worker.cold = None;
         worker.report.open = false;
         worker.out_of_capacity = false;
     }
@@ -233,9 +251,11 @@
         true
     }
 
-    /// Returns the connected workers of a pool.
+    /// Returns the connected workers of a pool outside evacuated domains.
     fn peers<'a>(&'a self, pool: &'a Name) -> impl Iterator<Item = (&'a Name, &'a Worker)> {
-        let connected = move |worker: &Worker| worker.down_since.is_none() && worker.serves(pool);
+        let connected = move |worker: &Worker| {
+            worker.down_since.is_none() && !worker.evacuated && worker.serves(pool)
+        };
         self.workers
             .iter()
             .filter(move |(_, worker)| connected(worker))
@@ -293,20 +313,22 @@
         self.offers = offers;
     }
 
+    /// Replaces the descriptions of the workers of all agents in evacuated domains.
+    pub fn set_evacuated_offers(&mut self, offers: Vec<WorkerInfo>) {
+        self.evacuated_offers = offers;
+    }
+
     /// Returns whether a known worker of the pool, linked or not, has the capacity and label for a
     /// task of the step.
     ///
     /// Returns `true` if no worker of the pool is known.
     pub fn could_ever_run(&self, pool: &Name, step: &Step) -> bool {
         let linked = self.workers.values().filter_map(|w| w.info.as_ref());
+        let offers = self.offers.iter().chain(&self.evacuated_offers);
         let mut known = false;
-        for info in linked.chain(&self.offers) {
-            if info.pool.as_ref() != Some(pool) {
-                continue;
-            }
-            known = true;
-            let labelled = step.label.as_ref().is_none_or(|l| info.labels.contains(l));
-            if labelled && step.needs.fits(info.capacity) {
+        for info in linked.chain(offers) {
+            known |= info.pool.as_ref() == Some(pool);
+            if info.could_run(pool, step) {
                 return true;
             }
         }
@@ -393,6 +415,7 @@
     pub fn run_completed(&mut self, now: Uptime, name: &Name) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.refusals = 0;
+            worker.warm_up();
             if worker.ejected_until.is_some() {
                 worker.ejected_until = Some(now);
                 worker.retry_interval = MIN_EJECTION_TIME;
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -1,6 +1,7 @@
 //! Scheduling of pooled jobs at an entry: admission, ordering, placement, retries and answers.
 
 mod cancels;
+mod evacuation;
 mod load;
 mod note;
 mod open_job;
@@ -16,7 +17,7 @@
 use indexmap::IndexMap;
 
 pub use cancels::{CANCEL_WAIT, CancelAnswer, MAX_CANCELS};
-pub use note::{Action, Answer, Note, Placed};
+pub use note::{Action, Answer, EvacuationEffect, Note, Placed};
 
 use cancels::Cancels;
 use load::PoolLoad;
@@ -26,7 +27,7 @@
 use super::catalog::Queue;
 use super::fleet::Fleet;
 use super::job::{Job, JobId, Resources, RunId};
-use super::msg::{Peer, ToAgent, WorkerInfo};
+use super::msg::{Peer, ToAgent};
 use super::owners::{MAX_RUN_TIME_AFTER_LOSS, Owners};
 use super::{MAX_TIME, Uptime, scaled};
 use crate::ids::Name;
@@ -114,11 +115,6 @@
         &self.fleet
     }
 
-    /// Replaces the descriptions of the workers of all agents, linked or not.
-    pub fn set_offers(&mut self, offers: Vec<WorkerInfo>) {
-        self.fleet.set_offers(offers);
-    }
-
     /// Returns the number of jobs that are not answered yet.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len()
@@ -212,6 +208,16 @@
             Self::decline(caller, &spec, Answer::Failed(reason), reason, out);
             return;
         }
+        if self.waits_for_evacuated(&queue.pool, &spec) {
+            Self::decline(
+                caller,
+                &spec,
+                evacuation::refusal(),
+                evacuation::REASON,
+                out,
+            );
+            return;
+        }
         let hold = self.hold_for(id, out);
         let aim = scaled(spec.critical_path(), queue.slack) + queue.aim.min(MAX_TIME);
         let deadline = deadline.min(MAX_TIME);
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -8,7 +8,7 @@
 use rw_core::ids::Name;
 use rw_core::pool::job::{EndEvidence, JobId, RunEnd, RunId};
 use rw_core::pool::msg::NotStarted;
-use rw_core::pool::scheduler::{Answer, CancelAnswer, Note, Placed, Scheduler};
+use rw_core::pool::scheduler::{Answer, CancelAnswer, EvacuationEffect, Note, Placed, Scheduler};
 use rw_host::metrics;
 use rw_host::net::Net;
 
@@ -156,6 +156,7 @@
         Note::Ejected { worker, failing } => {
             log::warn!(worker:% = worker, failing = failing; "worker ejected");
         }
+        Note::EvacuationChanged(effect) => record_evacuation(*effect),
         Note::Stalled { time, jobs } => {
             log::warn!(time_ms = ms(*time), jobs = jobs; "process was suspended; jobs aborted");
         }
@@ -181,6 +182,11 @@
     log::info!(job:% = job, answer = kind, waited_ms = ms(waited); "cancel answered");
 }
 
+fn record_evacuation(effect: EvacuationEffect) {
+    log::info!(cpu_before = effect.cpu_before, cpu_after = effect.cpu_after,
+        refused = effect.refused; "workers in reach changed with the evacuated domains");
+}
+
 fn record_run_end(run: RunId, worker: &Name, (end, evidence): (RunEnd, EndEvidence), ran_ms: u32) {
     let kind = format!("{end:?}");
     RUNS.with_label_values(&[&kind]).inc();
@@ -230,6 +236,7 @@
         metrics::HELD.with_label_values(&[what]).set(value as i64);
     };
     let (conns, refused) = net.counts();
+    set("evacuated_workers", scheduler.fleet().evacuated());
     set("open_jobs", scheduler.open_jobs());
     set("ejected_workers", scheduler.fleet().ejected());
     set("connections", conns);
