Room of a worker is promised to one entry at a time

Change: the agent promises free room in shares of the largest task started recently, first to entries with waiting jobs (by how many wait and for how long), then by recent starts. A promise that a waiting entry does not use within 10 ms passes on; those of entries without waiting jobs keep nobody out. On a full worker one start ahead of the next end is promised. Entries use what is promised or ample first. Starts carry the number of waiting jobs. Refused starts are counted by why room was expected; the factor for other racks is taken from the settings.

--- a/crates/agent/src/pooled/notes.rs
+++ b/crates/agent/src/pooled/notes.rs
@@ -6,6 +6,7 @@
 use prometheus::{Histogram, IntCounterVec};
 use rw_core::pool::driver::{Driver, Note};
 use rw_core::pool::job::RunEnd;
+use rw_core::pool::msg::NotStarted;
 use rw_host::metrics;
 use rw_host::net::Net;
 
@@ -21,6 +22,14 @@
     )
 });
 
+static NO_ROOM: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_starts_without_room_total",
+        "Starts refused for lack of room, by whether it was promised to the entry",
+        &["room"],
+    )
+});
+
 fn ms(time: Duration) -> u64 {
     time.as_millis() as u64
 }
@@ -54,9 +63,12 @@
             log::info!(run:% = run, end:? = end, evidence = evidence.as_str(), ran_ms = ms(*ran),
                 since_renewal_ms = ms(*since_renewal); "run ended");
         }
-        Note::Refused { run, reason } => {
+        Note::Refused { run, reason, claim } => {
+            if *reason == NotStarted::NoRoom {
+                NO_ROOM.with_label_values(&[claim.as_str()]).inc();
+            }
             RUNS.with_label_values(&[&format!("{reason:?}")]).inc();
-            log::info!(run:% = run, reason:? = reason; "run not started");
+            log::info!(run:% = run, reason:? = reason, room = claim.as_str(); "run not started");
         }
         Note::Stopping { run, why } => log::info!(run:% = run, why = why; "stopping run"),
         Note::StartUnanswered { run, waited } => {
@@ -99,13 +111,16 @@
     }
 }
 
-/// Updates the gauges of runs and connections.
+/// Updates the gauges of runs, room and connections.
 pub fn update_gauges(driver: &Driver, net: &Net) {
     let set = |what: &str, value: usize| {
         metrics::HELD.with_label_values(&[what]).set(value as i64);
     };
     let (conns, refused) = net.counts();
     set("runs", driver.run_count());
+    let (free, promised) = driver.room();
+    set("free_cpu_milli", free.cpu_milli as usize);
+    set("promised_cpu_milli", promised.cpu_milli as usize);
     set("connections", conns);
     set("connections_refused", refused as usize);
 }
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -17,6 +17,7 @@
 pub mod msg;
 pub mod owners;
 pub mod reach;
+pub mod room;
 pub mod scheduler;
 pub mod shares;
 pub mod subset;
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -22,6 +22,7 @@
 use super::Uptime;
 use super::job::{EndEvidence, Resources, RunEnd, RunId};
 use super::msg::{CapacityReport, NotStarted, ToEntry, WorkerInfo};
+use super::room::{Claim, News, Promises};
 use crate::ids::{Name, NodeRef};
 
 pub use call::{Call, CallTarget, EndedRow, Reply, RunningRow, StartRefusal};
@@ -69,9 +70,6 @@
 /// Time from the report that a link takes no more starts to its end. Starts that were sent before
 /// arrive meanwhile.
 const RETIRE_GRACE: Duration = Duration::from_millis(500);
-/// Number of entries with waiting jobs that are notified of freed capacity immediately. Entries
-/// take turns.
-const IMMEDIATE_REPORTS: usize = 2;
 /// Minimum time between two reports of freed capacity to an entry with waiting jobs.
 const WAITING_REPORT_INTERVAL: Duration = Duration::from_millis(12);
 /// Minimum time between two reports after a large change of the free capacity, the pace or the
@@ -134,6 +132,8 @@
     payload: Arc<str>,
     /// When the job's aim is missed. Queued runs are started in this order.
     due: Uptime,
+    /// Whether the room for it was promised to its entry.
+    claim: Claim,
     /// Longest time in [`State::Queued`].
     max_queue_time: Duration,
     /// When the agent received it.
@@ -182,6 +182,8 @@
     info_sent: bool,
     /// Since when the link is to be closed; `None` if it stays.
     retiring_since: Option<Uptime>,
+    /// Changes of its promise since the last report.
+    news: News,
 }
 
 #[derive(Debug)]
@@ -277,8 +279,8 @@
     next_list: Uptime,
     /// When the next report is due, unless something changes before; `None` if all are up to date.
     next_report: Option<Uptime>,
-    /// Index of the entry that is first in the next round of reports.
-    next_entry: usize,
+    /// Free room that is promised to single entries.
+    promises: Promises,
     /// Ends that were not delivered.
     undelivered_ends: IndexMap<RunId, UndeliveredEnd>,
     /// Moving average of the natural logarithm of run time over estimate; above 0 is slow.
@@ -315,7 +317,7 @@
             unresponsive: false,
             next_list: now,
             next_report: None,
-            next_entry: 0,
+            promises: Promises::default(),
             undelivered_ends: IndexMap::new(),
             pace: 0.0,
             pace_updated: now,
@@ -356,6 +358,11 @@
         self.runs.len()
     }
 
+    /// Returns the free room of the worker, and what of it is promised to single entries.
+    pub fn room(&self) -> (Resources, Resources) {
+        (self.free(), self.promises.total())
+    }
+
     /// Prepares for shutdown: refuses queued runs and every further start.
     pub fn drain(&mut self, out: &mut Vec<Action>) {
         self.draining = true;
@@ -418,7 +425,8 @@
         let Some(removed) = self.runs.swap_remove(&run) else {
             return;
         };
-        out.push(Action::Note(Note::Refused { run, reason }));
+        let claim = removed.claim;
+        out.push(Action::Note(Note::Refused { run, reason, claim }));
         if let Some(owner) = removed.owner {
             // The entry acted on an outdated report, so the next report is sent at once.
             if let Some(entry) = self.entries.get_mut(&owner.name) {
--- a/crates/core/src/pool/driver/note.rs
+++ b/crates/core/src/pool/driver/note.rs
@@ -4,6 +4,7 @@
 
 use super::super::job::{EndEvidence, Resources, RunEnd, RunId};
 use super::super::msg::NotStarted;
+use super::super::room::Claim;
 use super::HeartbeatState;
 use crate::ids::Name;
 
@@ -40,6 +41,8 @@
         run: RunId,
         /// Why it was not started.
         reason: NotStarted,
+        /// Whether the room for it was promised to its entry.
+        claim: Claim,
     },
     /// A run is to be stopped.
     Stopping {
--- a/crates/core/src/pool/driver/owners.rs
+++ b/crates/core/src/pool/driver/owners.rs
@@ -3,13 +3,16 @@
 use super::super::Uptime;
 use super::super::job::{EndEvidence, Resources, RunEnd, RunId};
 use super::super::msg::{CapacityReport, ToAgent, ToEntry};
+use super::super::room::News;
 use super::super::{PING_EVERY, SILENCE_TIMEOUT};
 use super::{
-    Action, Driver, Duration, Entry, IMMEDIATE_REPORTS, LARGE_CHANGE_DIVISOR, Name, Note,
-    REPORT_INTERVAL, RETIRE_GRACE, SLOW_REPORT_INTERVAL, State, WAITING_REPORT_INTERVAL,
+    Action, Driver, Duration, Entry, LARGE_CHANGE_DIVISOR, Name, Note, REPORT_INTERVAL,
+    RETIRE_GRACE, SLOW_REPORT_INTERVAL, State, WAITING_REPORT_INTERVAL,
 };
 use crate::ids::NodeRef;
 
+/// Number of runs on a worker from which on room is promised for one start ahead of the next end.
+const MIN_RUNS_TO_QUEUE: usize = 4;
 /// Change of the pace that is not reported on its own.
 const SMALL_PACE_CHANGE: f32 = 0.05;
 /// Change of the failure rate that is not reported on its own.
@@ -27,6 +30,7 @@
         if replaced {
             self.stop_runs_of(now, &name, "its entry process was replaced", out);
         }
+        self.promises.remove(&name);
         self.entries.insert(
             name,
             Entry {
@@ -38,6 +42,7 @@
                 last_report: None,
                 info_sent: false,
                 retiring_since: None,
+                news: News::default(),
             },
         );
         self.report(now, out);
@@ -99,7 +104,11 @@
         match msg {
             ToAgent::Start(start) => {
                 entry.starts_received += 1;
-                self.on_start(now, owner, start, out);
+                if entry.waiting_jobs > 0 {
+                    entry.waiting_jobs = start.waiting_jobs.max(1);
+                }
+                let claim = self.promises.started(now, name, start.needs);
+                self.on_start(now, owner, start, claim, out);
             }
             ToAgent::Stop { run } => {
                 if self
@@ -227,14 +236,12 @@
             .as_ref()
             .map_or(0, |info| info.capacity.cpu_milli / LARGE_CHANGE_DIVISOR);
         let pace = self.pace(now);
-        let mut immediate_left = IMMEDIATE_REPORTS;
-        self.next_report = None;
-        let count = self.entries.len();
-        for i in 0..count {
-            let index = (self.next_entry + i) % count;
-            let Some((name, entry)) = self.entries.get_index_mut(index) else {
-                continue;
-            };
+        let room = if open { free } else { Resources::default() };
+        self.next_report = self.allot(now, room, queued);
+        let unit = info.as_ref().map_or(Resources::default(), |info| {
+            self.promises.unit(info.capacity)
+        });
+        for (name, entry) in &mut self.entries {
             if !entry.linked {
                 continue;
             }
@@ -246,17 +253,19 @@
                 starts_received: entry.starts_received,
                 open: open && entry.retiring_since.is_none(),
                 free,
+                promised: self.promises.promised(name),
+                unit,
+                reserved: self.promises.reserved_for_others(now, name),
                 queued,
                 pace,
                 failing: self.failure_rate,
             };
+            let news = self.promises.take_news(name);
+            entry.news.granted |= news.granted;
+            entry.news.revoked |= news.revoked;
             let change = entry.change(&report, large_change);
-            let immediate = change == Change::Freed && entry.waiting_jobs > 0 && immediate_left > 0;
-            if immediate || entry.is_due(now, change) {
-                if immediate {
-                    immediate_left -= 1;
-                    self.next_entry = index + 1;
-                }
+            if entry.is_due(now, change) {
+                entry.news = News::default();
                 entry.last_report = Some((now, report));
                 out.push(Action::Send(name.clone(), ToEntry::Capacity(report)));
             } else if change != Change::None {
@@ -267,11 +276,29 @@
     }
 }
 
+impl Driver {
+    /// Promises the free room to the entries. Returns when to do so again at the latest, if nothing
+    /// changes before.
+    fn allot(&mut self, now: Uptime, free: Resources, queued: u32) -> Option<Uptime> {
+        let takes_starts = |entry: &Entry| entry.linked && entry.retiring_since.is_none();
+        let entries = self.entries.iter().filter(|(_, entry)| takes_starts(entry));
+        let entries = entries.map(|(name, entry)| (name, entry.waiting_jobs));
+        self.promises.set_entries(now, entries);
+        let capacity = self.worker.as_ref()?.info.capacity;
+        // With several runs, one ends within the time that a start may be queued.
+        let may_queue = queued == 0 && self.runs.len() >= MIN_RUNS_TO_QUEUE;
+        self.promises.allot(now, free, capacity, may_queue)
+    }
+}
+
 impl CapacityReport {
     /// Returns whether `newer` differs in more than a fading of what was learned, which entries
     /// need not follow closely.
     fn is_outdated(&self, newer: &Self) -> bool {
-        let counted = |report: &Self| (report.starts_received, report.free, report.queued);
+        let counted = |report: &Self| {
+            let room = (report.free, report.promised, report.reserved);
+            (report.starts_received, room, report.queued)
+        };
         counted(self) != counted(newer)
             || (self.pace - newer.pace).abs() > SMALL_PACE_CHANGE
             || (self.failing - newer.failing).abs() > SMALL_FAILING_CHANGE
@@ -284,7 +311,9 @@
 enum Change {
     /// There was no report yet, or whether the worker accepts runs has changed.
     Availability,
-    /// There is more free capacity, and jobs wait at the entry.
+    /// Room for a task was promised to the entry, which had none.
+    Promised,
+    /// There is more that the entry may use, and jobs wait there; or a promise was revoked.
     Freed,
     /// The free capacity, the pace or the failure rate changed by a large amount.
     Large,
@@ -299,12 +328,14 @@
         let Some((_, last)) = &self.last_report else {
             return Change::Availability;
         };
-        let (before, after) = (last.free.cpu_milli, report.free.cpu_milli);
+        let (before, after) = (last.obtainable().cpu_milli, report.obtainable().cpu_milli);
         let learned_change =
             (last.pace - report.pace).abs() > 0.2 || (last.failing - report.failing).abs() > 0.1;
         if last.open != report.open {
             Change::Availability
-        } else if after > before && self.waiting_jobs > 0 {
+        } else if self.news.granted {
+            Change::Promised
+        } else if after > before && self.waiting_jobs > 0 || self.news.revoked {
             Change::Freed
         } else if before.abs_diff(after) >= large_change.max(1) || learned_change {
             Change::Large
@@ -322,7 +353,7 @@
     /// Returns when a report of the change is due.
     fn report_due(&self, change: Change) -> Uptime {
         let interval = match change {
-            Change::Availability => Duration::ZERO,
+            Change::Availability | Change::Promised => Duration::ZERO,
             Change::Freed => WAITING_REPORT_INTERVAL,
             Change::Large => REPORT_INTERVAL,
             Change::Small => SLOW_REPORT_INTERVAL,
--- a/crates/core/src/pool/driver/starts.rs
+++ b/crates/core/src/pool/driver/starts.rs
@@ -3,6 +3,7 @@
 use super::super::Uptime;
 use super::super::job::{EndEvidence, RunEnd, RunId};
 use super::super::msg::{NotStarted, Start};
+use super::super::room::Claim;
 use super::{
     ASSURED_LEASE, Action, Call, Driver, Duration, HeartbeatState, MAX_QUEUED, Note, Run,
     SHORT_START_WINDOW, START_WINDOW, StartRefusal, State,
@@ -19,6 +20,7 @@
         now: Uptime,
         owner: NodeRef,
         start: Start,
+        claim: Claim,
         out: &mut Vec<Action>,
     ) {
         let run = start.run;
@@ -32,7 +34,7 @@
             .as_ref()
             .is_some_and(|worker| worker.state == HeartbeatState::Ready);
         let other_run = self.runs.keys().any(|other| other.task == run.task);
-        self.runs.insert(run, Run::new(now, owner, start));
+        self.runs.insert(run, Run::new(now, owner, start, claim));
         if !ready || self.unresponsive || self.draining {
             self.refuse(run, NotStarted::NoWorker, out);
         } else if queue_full {
@@ -263,7 +265,7 @@
 }
 
 impl Run {
-    fn new(now: Uptime, owner: NodeRef, start: Start) -> Self {
+    fn new(now: Uptime, owner: NodeRef, start: Start, claim: Claim) -> Self {
         let estimate = Duration::from_millis(start.estimate_ms.into());
         Self {
             owner: Some(owner),
@@ -272,6 +274,7 @@
             estimate,
             payload: start.payload,
             due: now + Duration::from_millis(start.due_ms.into()),
+            claim,
             max_queue_time: Duration::from_millis(start.max_queue_ms.into()),
             received: now,
             start_at: now,
@@ -299,6 +302,7 @@
             estimate: Duration::ZERO,
             payload: "".into(),
             due: now,
+            claim: Claim::Unpromised,
             max_queue_time: Duration::ZERO,
             received: now,
             start_at: now,
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -1,6 +1,7 @@
 //! The workers known to one entry: free capacity, speed and health.
 
 mod choice;
+mod room;
 
 use std::time::Duration;
 
@@ -11,7 +12,8 @@
 use super::msg::{CapacityReport, WorkerInfo};
 use crate::ids::Name;
 
-pub use choice::{Choice, Need};
+pub use choice::{Basis, Choice, Need};
+pub use room::Room;
 
 /// Minimum share of failed runs, 0 to 1, for a worker to be ejected. Below half of it the ejection
 /// ends.
@@ -72,6 +74,19 @@
         unreported.fold(self.report.free, |free, (_, needs)| free.minus(*needs))
     }
 
+    /// Returns the room that this entry may use: the free capacity without what other entries wait
+    /// for, or what is promised to it, which may be ahead of the next end of a run.
+    pub fn obtainable(&self) -> Resources {
+        let shared = self.free().minus(self.report.reserved);
+        shared.largest(self.promised())
+    }
+
+    /// Returns the room that is promised to this entry.
+    pub fn promised(&self) -> Resources {
+        let unreported = self.unreported.iter();
+        unreported.fold(self.report.promised, |room, (_, needs)| room.minus(*needs))
+    }
+
     /// Returns whether it may be sent runs now.
     fn accepts_runs(&self, now: Uptime) -> bool {
         let refusing = self.out_of_capacity || now < self.avoid_until;
@@ -92,7 +107,7 @@
 }
 
 /// All workers known to one entry.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Fleet {
     workers: IndexMap<Name, Worker>,
     /// Median ratio of run time to estimate, by pool.
@@ -103,6 +118,21 @@
     /// [`Fleet::take_freed`].
     freed: Vec<Name>,
     next_refresh: Uptime,
+    /// Factor on the run time of a task on a worker outside the rack of its data, 1 or more.
+    other_rack_factor: f64,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self {
+            workers: IndexMap::new(),
+            medians: IndexMap::new(),
+            offers: Vec::new(),
+            freed: Vec::new(),
+            next_refresh: Uptime::ZERO,
+            other_rack_factor: choice::OTHER_RACK_FACTOR,
+        }
+    }
 }
 
 impl Fleet {
@@ -177,7 +207,7 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return false;
         };
-        let before = worker.accepts_runs(now).then(|| worker.free());
+        let before = worker.accepts_runs(now).then(|| worker.obtainable());
         let report = report.within_limits();
         worker.report = report;
         worker.reported = now;
@@ -186,7 +216,7 @@
         worker
             .unreported
             .retain(|(number, _)| *number > report.starts_received);
-        let gained = before.is_none_or(|before| !worker.free().fits(before));
+        let gained = before.is_none_or(|before| !worker.obtainable().fits(before));
         if gained && worker.accepts_runs(now) && !self.freed.contains(name) {
             self.freed.push(name.clone());
         }
@@ -261,7 +291,7 @@
             .sum()
     }
 
-    /// Returns the largest free amount of each resource on any worker that accepts runs. A task
+    /// Returns the largest obtainable amount of each resource on any worker that accepts runs. A task
     /// that needs more cannot be placed, so that no search over the workers is needed.
     pub fn most_free(&self, now: Uptime) -> Resources {
         Self::most_free_of(now, self.workers.values())
@@ -279,10 +309,16 @@
         workers
             .filter(|worker| worker.accepts_runs(now))
             .fold(Resources::default(), |most, worker| {
-                most.largest(worker.free())
+                most.largest(worker.obtainable())
             })
     }
 
+    /// Sets the factor on the run time of a task on a worker outside the rack of its data. One that
+    /// is below 1 or no number counts as 1.
+    pub fn set_other_rack_factor(&mut self, factor: f64) {
+        self.other_rack_factor = factor.max(1.0);
+    }
+
     /// Replaces the descriptions of the workers of all agents, linked or not.
     pub fn set_offers(&mut self, offers: Vec<WorkerInfo>) {
         self.offers = offers;
--- a/crates/core/src/pool/fleet/choice.rs
+++ b/crates/core/src/pool/fleet/choice.rs
@@ -7,8 +7,8 @@
 use super::{Fleet, Worker};
 use crate::ids::Name;
 
-/// Assumed factor on the run time of a task on a worker outside the rack of its data.
-const OTHER_RACK_FACTOR: f64 = 1.5;
+/// Factor on the run time of a task on a worker outside the rack of its data, if none is set.
+pub(super) const OTHER_RACK_FACTOR: f64 = 1.5;
 /// Weight of the share of failed runs in a worker's score: one that fails every run counts as
 /// slower by this multiple of its run time.
 const FAILURE_WEIGHT: f64 = 2.0;
@@ -24,6 +24,12 @@
 /// Maximum random increase of a score, so that entries do not all choose the same worker. Values of
 /// 0.06 and 0.60 gave worse results over eight days of load peaks.
 const JITTER: f64 = 0.30;
+/// Room for so many tasks of the same needs is safe to use without a promise: other entries hardly
+/// take all of it before the start arrives.
+const AMPLE_TASKS: u32 = 6;
+/// With room for so many such tasks a start is tried without a promise before the entry announces
+/// that jobs wait, and is promised room a round trip later.
+const FEW_TASKS: u32 = 3;
 /// Upper bound of the ratio of run time to estimate.
 const MAX_RUN_FACTOR: f64 = 100.0;
 
@@ -36,6 +42,31 @@
     pub step: &'a Step,
     /// Time within which it should end; `None` if run time does not restrict the choice.
     pub in_time: Option<Duration>,
+    /// Whether agents know that jobs wait here, and promise room to this entry in turn.
+    pub announced: bool,
+}
+
+/// On what grounds room was expected at a worker.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Basis {
+    /// It was promised to this entry.
+    Promised,
+    /// There is room for several such tasks.
+    Ample,
+    /// There is room that other entries may use first.
+    #[default]
+    Contended,
+}
+
+impl Basis {
+    /// Returns the name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Promised => "promised",
+            Self::Ample => "ample",
+            Self::Contended => "contended",
+        }
+    }
 }
 
 /// A worker chosen for a task, with the inputs of the decision.
@@ -49,13 +80,17 @@
     pub free: Resources,
     /// Age of the report behind `free`.
     pub age: Duration,
+    /// Why the room is expected to be there when the start arrives.
+    pub basis: Basis,
 }
 
 impl Fleet {
     /// Returns the worker with the best score (speed, free CPU, failures) among those that have the
     /// capacity for the task and on which it is expected to end in time; `None` if there is none.
     ///
-    /// A random sample of workers is tried before all of them. `allowed` can exclude workers.
+    /// Workers with room that is promised or ample come first, others only while agents do not know
+    /// that jobs wait here, or if the task is larger than what they promise. A random sample of
+    /// workers is tried before all of them. `allowed` can exclude workers.
     pub fn choose<F>(
         &self,
         now: Uptime,
@@ -67,17 +102,27 @@
         F: Fn(&Name) -> bool,
     {
         let all = self.workers.len();
+        let needs = need.step.needs;
         if all > SAMPLE_SIZE {
             // Workers are in the order in which they were linked, which differs between entries.
             let first = rng.usize(0..all);
             let sample =
                 (first..first + SAMPLE_SIZE).filter_map(|i| self.workers.get_index(i % all));
-            let chosen = self.best_of(now, need, sample, &allowed, rng);
+            let safe = sample.filter(|(_, worker)| worker.is_safe(needs));
+            let chosen = self.best_of(now, need, safe, &allowed, rng);
             if chosen.is_some() {
                 return chosen;
             }
         }
-        self.best_of(now, need, self.workers.iter(), &allowed, rng)
+        let safe = self.workers.iter().filter(|(_, w)| w.is_safe(needs));
+        self.best_of(now, need, safe, &allowed, rng).or_else(|| {
+            let others = self.workers.iter();
+            let others = others.filter(|(_, w)| {
+                !need.announced && needs.times(FEW_TASKS).fits(w.obtainable())
+                    || !needs.fits(w.report.unit)
+            });
+            self.best_of(now, need, others, &allowed, rng)
+        })
     }
 
     /// Returns the best of the named workers, as [`Fleet::choose`] does.
@@ -92,9 +137,11 @@
     where
         F: Fn(&Name) -> bool,
     {
+        let needs = need.step.needs;
         let candidates = names
             .iter()
-            .filter_map(|name| self.workers.get_key_value(name));
+            .filter_map(|name| self.workers.get_key_value(name))
+            .filter(|(_, w)| !need.announced || w.is_safe(needs) || !needs.fits(w.report.unit));
         self.best_of(now, need, candidates, &allowed, rng)
     }
 
@@ -116,7 +163,7 @@
             if !worker.accepts_runs(now) || !worker.can_run(now, need) || !allowed(name) {
                 continue;
             }
-            let factor = worker.expected_run_factor(need.step);
+            let factor = worker.expected_run_factor(need.step, self.other_rack_factor);
             let expected = scaled(need.step.estimate, factor);
             if need
                 .in_time
@@ -130,11 +177,14 @@
                 best = Some((score, name, worker));
             }
         }
+        let run_factor =
+            |worker: &Worker| worker.expected_run_factor(need.step, self.other_rack_factor);
         best.map(|(_, name, worker)| Choice {
             worker: name.clone(),
-            expected: scaled(need.step.estimate, worker.expected_run_factor(need.step)),
+            expected: scaled(need.step.estimate, run_factor(worker)),
             free: worker.free(),
             age: now.saturating_sub(worker.reported),
+            basis: worker.basis(need.step.needs),
         })
     }
 }
@@ -142,12 +192,28 @@
 impl Worker {
     /// Returns whether it has the free capacity, pool and label for the task and is not ejected.
     fn can_run(&self, now: Uptime, need: Need<'_>) -> bool {
-        need.step.needs.fits(self.free())
+        need.step.needs.fits(self.obtainable())
             && self.serves(need.pool)
             && need.step.label.as_ref().is_none_or(|l| self.has_label(l))
             && self.may_be_tried(now)
     }
 
+    /// Returns on what grounds there is room for a task.
+    fn basis(&self, needs: Resources) -> Basis {
+        if needs.fits(self.promised()) {
+            Basis::Promised
+        } else if needs.times(AMPLE_TASKS).fits(self.obtainable()) {
+            Basis::Ample
+        } else {
+            Basis::Contended
+        }
+    }
+
+    /// Returns whether a start is hardly refused for lack of room.
+    fn is_safe(&self, needs: Resources) -> bool {
+        self.basis(needs) != Basis::Contended
+    }
+
     /// Returns whether it is not ejected, or is due for a try. An ejected worker gets one run at a
     /// time.
     fn may_be_tried(&self, now: Uptime) -> bool {
@@ -156,9 +222,9 @@
     }
 
     /// Returns the expected ratio of run time to estimate of a task on this worker.
-    fn expected_run_factor(&self, step: &Step) -> f64 {
+    fn expected_run_factor(&self, step: &Step, other_rack_factor: f64) -> f64 {
         let other_rack = step.rack.as_ref().is_some_and(|rack| !self.has_label(rack));
-        let rack_factor = if other_rack { OTHER_RACK_FACTOR } else { 1.0 };
+        let rack_factor = if other_rack { other_rack_factor } else { 1.0 };
         (self.run_factor * rack_factor).min(MAX_RUN_FACTOR)
     }
 
--- a/crates/core/src/pool/job.rs
+++ b/crates/core/src/pool/job.rs
@@ -99,6 +99,22 @@
         }
     }
 
+    /// Returns a multiple of each resource, saturating.
+    #[must_use]
+    pub fn times(self, factor: u32) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_mul(factor),
+            memory_mb: self.memory_mb.saturating_mul(factor),
+            accelerators: self.accelerators.saturating_mul(factor),
+        }
+    }
+
+    /// Returns the smaller amount of each resource.
+    #[must_use]
+    pub fn common(self, other: Self) -> Self {
+        self.minus(self.minus(other))
+    }
+
     /// Returns the difference of each resource, not below 0.
     #[must_use]
     pub fn minus(self, other: Self) -> Self {
--- a/crates/core/src/pool/msg.rs
+++ b/crates/core/src/pool/msg.rs
@@ -85,6 +85,8 @@
     /// Milliseconds that the run may wait at the agent for capacity; 0 while no job waits at the
     /// entry.
     pub max_queue_ms: u32,
+    /// Number of jobs with waiting tasks at the entry.
+    pub waiting_jobs: u32,
     /// Data that is passed to the worker.
     pub payload: Arc<str>,
 }
@@ -184,6 +186,12 @@
     pub open: bool,
     /// Capacity that no run uses or is queued for.
     pub free: Resources,
+    /// Room that is promised to this entry: a part of `free`, or ahead of the next end of a run.
+    pub promised: Resources,
+    /// Room that is promised at a time; entries with waiting jobs wait for it.
+    pub unit: Resources,
+    /// Part of `free` that is promised to other entries, whose jobs wait for it.
+    pub reserved: Resources,
     /// Number of runs queued at the agent.
     pub queued: u32,
     /// Recent mean of the natural logarithm of the ratio of run time to estimate.
@@ -196,6 +204,11 @@
 const MAX_PACE: f32 = 5.0;
 
 impl CapacityReport {
+    /// Returns the free room without what other entries wait for, or what is promised to this one.
+    pub fn obtainable(&self) -> Resources {
+        self.free.minus(self.reserved).largest(self.promised)
+    }
+
     /// Returns the report with its numbers limited to their ranges; values that are not numbers
     /// become 0.
     #[must_use]
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -21,7 +21,7 @@
 use peers::YieldRequest;
 
 use super::catalog::Queue;
-use super::fleet::Fleet;
+use super::fleet::{Basis, Fleet};
 use super::job::{Job, JobId, Resources, RunId};
 use super::msg::{Peer, ToAgent, WorkerInfo};
 use super::owners::{MAX_RUN_TIME_AFTER_LOSS, Owners};
@@ -114,6 +114,11 @@
         self.fleet.set_offers(offers);
     }
 
+    /// Sets the factor on the run time of a task on a worker outside the rack of its data.
+    pub fn set_other_rack_factor(&mut self, factor: f64) {
+        self.fleet.set_other_rack_factor(factor);
+    }
+
     /// Returns the number of jobs that are not answered yet.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len()
@@ -248,6 +253,7 @@
                 failures: 0,
                 moves: 0,
                 waiting_since: now,
+                basis: Basis::default(),
             }));
         }
         tasks
--- a/crates/core/src/pool/scheduler/note.rs
+++ b/crates/core/src/pool/scheduler/note.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::super::fleet::Choice;
+use super::super::fleet::{Basis, Choice};
 use super::super::job::{EndEvidence, JobId, RunEnd, RunId};
 use super::super::msg::{NotStarted, Peer, ToAgent};
 use crate::ids::Name;
@@ -128,6 +128,8 @@
         worker: Name,
         /// Why it was not started.
         reason: NotStarted,
+        /// Why room for it was expected; `None` if its job is no longer open.
+        basis: Option<Basis>,
     },
     /// An agent was told to stop a run so that its task starts again on another worker.
     Moved {
--- a/crates/core/src/pool/scheduler/open_job.rs
+++ b/crates/core/src/pool/scheduler/open_job.rs
@@ -5,6 +5,7 @@
 
 use super::super::Uptime;
 use super::super::catalog::Queue;
+use super::super::fleet::Basis;
 use super::super::job::{Job, JobId, RunId, Step, TaskId};
 use crate::ids::Name;
 
@@ -35,6 +36,8 @@
     /// Number of runs that were stopped to start again on another worker.
     pub(super) moves: u32,
     pub(super) waiting_since: Uptime,
+    /// Why room was expected for the latest run.
+    pub(super) basis: Basis,
 }
 
 /// What delays the start of a job.
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -163,6 +163,7 @@
                 pool: &job.queue.pool,
                 step: &step,
                 in_time,
+                announced: self.announced_waiting > 0,
             };
             let choice = match candidates {
                 Candidates::All => self.fleet.choose(now, need, allowed, &mut self.rng),
@@ -181,6 +182,7 @@
                 worker: choice.worker.clone(),
                 stopping: false,
             };
+            task.basis = choice.basis;
             let waited = now.saturating_sub(task.waiting_since);
             job.starts += 1;
             let run = job.run(&job.tasks[i]);
@@ -193,11 +195,12 @@
                 needs: step.needs,
                 estimate_ms: millis(step.estimate),
                 due_ms: millis(in_time.unwrap_or(LATE_DUE)),
-                max_queue_ms: if self.jobs_left_waiting {
+                max_queue_ms: if self.announced_waiting > 0 {
                     MAX_AGENT_WAIT_MS
                 } else {
                     0
                 },
+                waiting_jobs: self.waiting.len() as u32,
                 payload: job.spec.payload.clone(),
             };
             out.push(Action::Send(choice.worker.clone(), ToAgent::Start(start)));
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::super::Uptime;
-use super::super::fleet::Need;
+use super::super::fleet::{Basis, Need};
 use super::super::job::{EndEvidence, Resources, RunEnd, RunId};
 use super::super::msg::{NotStarted, ToAgent, ToEntry};
 use super::super::owners::MAX_RUN_TIME_AFTER_LOSS;
@@ -82,6 +82,7 @@
                     run,
                     worker: name.clone(),
                     reason,
+                    basis: self.basis_of(run),
                 }));
                 self.on_refused(now, name, run, reason, out);
             }
@@ -146,6 +147,13 @@
         self.on_run_end(now, name, run, RunEnd::Gone, out);
     }
 
+    /// Returns why room was expected for the latest run of a task.
+    fn basis_of(&self, run: RunId) -> Option<Basis> {
+        let job = self.jobs.get(&run.task.job)?;
+        let task = job.tasks.iter().find(|task| job.run(task) == run)?;
+        Some(task.basis)
+    }
+
     /// Returns whether the run is the current one of its task and was sent to this worker.
     fn is_current(&self, name: &Name, run: RunId) -> bool {
         self.jobs.get(&run.task.job).is_some_and(|job| {
@@ -271,6 +279,7 @@
             pool,
             step,
             in_time: None,
+            announced: false,
         };
         let Some(choice) = self.fleet.choose(now, need, other_worker, &mut self.rng) else {
             return;
--- a/crates/core/tests/pool_scheduler.rs
+++ b/crates/core/tests/pool_scheduler.rs
@@ -667,3 +667,19 @@
         "the first entry may still run it"
     );
 }
+
+/// Guards against a factor of the settings that is ignored.
+#[test]
+fn a_task_goes_to_another_rack_only_if_it_ends_in_time_by_the_factor_of_the_settings() {
+    for (factor, sent) in [(None, 1), (Some(2.0), 1), (Some(3.0), 0)] {
+        let mut harness = Harness::new(&["w0"]);
+        if let Some(factor) = factor {
+            harness.scheduler.set_other_rack_factor(factor);
+        }
+        // Its aim is 60 ms and 1.6 times its estimate from now.
+        let mut job = job(1, 1, cpu(1000));
+        job.steps[0].rack = Some("r1".into());
+        harness.submit(job, 1);
+        assert_eq!(harness.starts().len(), sent, "{factor:?}");
+    }
+}
--- a/crates/core/tests/support/driver.rs
+++ b/crates/core/tests/support/driver.rs
@@ -133,6 +133,7 @@
             estimate_ms: 100,
             due_ms: 100,
             max_queue_ms,
+            waiting_jobs: 0,
             payload: "x".into(),
         }));
     }
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -142,8 +142,12 @@
         .map_err(error_at("listen for readiness checks"))?;
     let now = clock::uptime();
     let reach = Reach::new(cluster.hello.node.name.clone());
+    let mut scheduler = Scheduler::new(now, fastrand::Rng::new());
+    if let Some(factor) = setup.other_rack_factor {
+        scheduler.set_other_rack_factor(factor);
+    }
     let mut daemon = Daemon {
-        scheduler: Scheduler::new(now, fastrand::Rng::new()),
+        scheduler,
         net,
         peers: Peers::default(),
         cluster,
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -6,7 +6,9 @@
 
 use prometheus::{HistogramVec, IntCounter, IntCounterVec};
 use rw_core::ids::Name;
+use rw_core::pool::fleet::Basis;
 use rw_core::pool::job::{EndEvidence, RunEnd, RunId};
+use rw_core::pool::msg::NotStarted;
 use rw_core::pool::scheduler::{Answer, Note, Placed, Scheduler};
 use rw_host::metrics;
 use rw_host::net::Net;
@@ -34,6 +36,20 @@
 });
 static RUNS: LazyLock<IntCounterVec> =
     LazyLock::new(|| metrics::counters("rw_pooled_runs_total", "Runs by their end", &["end"]));
+static STARTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_starts_total",
+        "Starts sent, by why room was expected: promised to this entry, ample, or contended",
+        &["room"],
+    )
+});
+static NO_ROOM: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_starts_without_room_total",
+        "Starts refused for lack of room, by why room was expected",
+        &["room"],
+    )
+});
 static MOVES: LazyLock<IntCounter> =
     LazyLock::new(|| metrics::counter("rw_pooled_moves_total", "Runs stopped to start elsewhere"));
 
@@ -79,6 +95,9 @@
         }
         Note::Placed { job, queue, runs } => {
             for placed in runs {
+                STARTS
+                    .with_label_values(&[placed.choice.basis.as_str()])
+                    .inc();
                 WAITS
                     .with_label_values(&[&**queue])
                     .observe(placed.waited.as_secs_f64());
@@ -98,10 +117,9 @@
             run,
             worker,
             reason,
+            basis,
         } => {
-            let kind = format!("{reason:?}");
-            RUNS.with_label_values(&[&kind]).inc();
-            log::info!(run:% = run, worker:% = worker, end = kind, ran_ms = 0; "run did not complete");
+            record_refusal(*run, worker, *reason, *basis);
         }
         Note::Moved {
             run,
@@ -152,6 +170,17 @@
     }
 }
 
+fn record_refusal(run: RunId, worker: &Name, reason: NotStarted, basis: Option<Basis>) {
+    let kind = format!("{reason:?}");
+    let basis = basis.map_or("", Basis::as_str);
+    RUNS.with_label_values(&[&kind]).inc();
+    if reason == NotStarted::NoRoom {
+        NO_ROOM.with_label_values(&[basis]).inc();
+    }
+    log::info!(run:% = run, worker:% = worker, end = kind, room = basis, ran_ms = 0;
+        "run did not complete");
+}
+
 fn record_run_end(run: RunId, worker: &Name, (end, evidence): (RunEnd, EndEvidence), ran_ms: u32) {
     let kind = format!("{end:?}");
     RUNS.with_label_values(&[&kind]).inc();
@@ -169,7 +198,7 @@
 }
 
 /// Formats each run as `step.index#attempt@worker`, with the free CPU assumed for the worker in
-/// thousandths of a core, and in milliseconds the age of the report behind it, the expected run time
+/// thousandths of a core, why room is expected there, and in milliseconds the age of the report behind it, the expected run time
 /// and the time waited.
 fn format_placements(runs: &[Placed]) -> String {
     let mut text = String::with_capacity(runs.len() * 64);
@@ -181,12 +210,13 @@
     {
         let _ = write!(
             text,
-            "{}.{}#{}@{} free={} age={} expected={} waited={};",
+            "{}.{}#{}@{} free={} room={} age={} expected={} waited={};",
             run.task.step,
             run.task.index,
             run.attempt,
             choice.worker,
             choice.free.cpu_milli,
+            choice.basis.as_str(),
             ms(choice.age),
             ms(choice.expected),
             ms(*waited)
@@ -195,7 +225,7 @@
     text
 }
 
-/// Updates the gauges of jobs, ejected workers and connections.
+/// Updates the gauges of jobs, room, ejected workers and connections.
 pub fn update_gauges(scheduler: &Scheduler, net: &Net) {
     let set = |what: &str, value: usize| {
         metrics::HELD.with_label_values(&[what]).set(value as i64);
@@ -203,6 +233,10 @@
     let (conns, refused) = net.counts();
     set("open_jobs", scheduler.open_jobs());
     set("ejected_workers", scheduler.fleet().ejected());
+    let room = scheduler.fleet().room();
+    set("free_cpu_milli", room.free as usize);
+    set("promised_cpu_milli", room.promised as usize);
+    set("reserved_for_others_cpu_milli", room.reserved as usize);
     set("connections", conns);
     set("connections_refused", refused as usize);
 }
