Entries link further agents before tasks wait

Cause: further agents were linked only after a task had found no worker, and in any failure domain.

A batch that is not used by 10 points less than the known workers doubles the pause. Agents of the entry's own domain come first, for tasks without a worker too; these must wait for 20 ms first, as agents now promise room within a round trip. Opened links are logged and counted by cause.

The test's harness gets workers that link to the entry by themselves, as without any the one with a run left makes up the whole known pool; its assertions are as before.

--- a/crates/core/src/pool/reach.rs
+++ b/crates/core/src/pool/reach.rs
@@ -1,9 +1,11 @@
 //! Links that an entry opens to further agents while its tasks find no worker among those that link
-//! to it by themselves (see [`subset`](super::subset)).
+//! to it by themselves (see [`subset`](super::subset)), and before that, when these workers fill up.
 //!
 //! This answers an uneven load: a crest in one failure domain, or the loss of the workers that one
 //! entry happens to know. When the whole pool is full, further links bring nothing: a batch without
-//! room doubles the pause before the next one.
+//! room, or one that is used no less than the known workers, doubles the pause before the next one.
+
+mod pressure;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -19,9 +21,21 @@
 use crate::ids::Name;
 use crate::members::{Member, MemberState};
 use crate::msg::Role;
+use pressure::Pressure;
 
 /// Number of agents that are linked at a time.
 const BATCH: usize = 6;
+/// Time for which tasks must find no worker without a break: agents need a part of it to promise
+/// room of other entries to this one.
+const MIN_SHORTAGE: Duration = Duration::from_millis(20);
+/// Pause after a batch that was opened because the known workers fill up: its workers have reported
+/// by then.
+const PRESSURE_PAUSE: Duration = Duration::from_millis(100);
+/// A batch helps against pressure if the share of its workers in use is lower by this than that of
+/// all known workers.
+const MIN_RELIEF: f64 = 0.1;
+/// Maximum number of extra links that are opened before tasks wait.
+const MAX_EARLY: usize = 18;
 /// Pause after a batch that has brought room.
 const MIN_PAUSE: Duration = Duration::from_millis(20);
 /// Longest pause after batches that have brought none.
@@ -53,6 +67,36 @@
     }
 }
 
+/// Why links to further agents were opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// A task found no worker.
+    NoWorker,
+    /// The known workers are nearly full, or will soon be.
+    Pressure,
+}
+
+impl Cause {
+    /// Returns the name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoWorker => "no-worker",
+            Self::Pressure => "pressure",
+        }
+    }
+}
+
+/// Links that were opened at once.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Opened {
+    /// Why.
+    pub cause: Cause,
+    /// Their number.
+    pub links: usize,
+    /// Share of the known workers in use, 0 to 1.
+    pub used: f64,
+}
+
 #[derive(Debug)]
 struct Candidate {
     domain: Name,
@@ -65,6 +109,8 @@
 #[derive(Debug)]
 pub struct Reach {
     me: Name,
+    /// Failure domain of this entry, once the member list shows it.
+    domain: Option<Name>,
     entries: Entries,
     link_count: LinkCount,
     links: usize,
@@ -74,9 +120,14 @@
     extra: IndexMap<Name, Uptime>,
     /// Number of agents at the end of `extra` that the last batch added.
     last_batch: usize,
+    pressure: Pressure,
+    /// The batch that was opened by the last tick, if any.
+    opened: Option<Opened>,
     next_batch: Uptime,
     pause: Duration,
     last_shortage: Uptime,
+    /// Since when there is a shortage without a break.
+    short_since: Option<Uptime>,
 }
 
 impl Reach {
@@ -84,20 +135,26 @@
     pub fn new(me: Name) -> Self {
         Self {
             me,
+            domain: None,
             entries: Entries::default(),
             link_count: LinkCount::default(),
             links: 0,
             agents: IndexMap::new(),
             extra: IndexMap::new(),
             last_batch: 0,
+            pressure: Pressure::default(),
+            opened: None,
             next_batch: Uptime::ZERO,
             pause: MIN_PAUSE,
             last_shortage: Uptime::ZERO,
+            short_since: None,
         }
     }
 
     /// Handles a new member list.
     pub fn set_members(&mut self, members: &[Member]) {
+        let me = members.iter().find(|m| m.node.name == self.me);
+        self.domain = me.map(|m| m.domain.clone()).or(self.domain.take());
         self.entries = Entries::of(members);
         self.links = self.link_count.update(&self.entries);
         let live = |m: &&Member| m.role == Role::Agent && m.state != MemberState::Dead;
@@ -137,20 +194,32 @@
         rng: &mut Rng,
     ) -> Option<Vec<Name>> {
         let dropped = self.drop_unused(now, shortage.is_some(), fleet);
+        self.opened = None;
         let Some(shortage) = shortage else {
+            self.short_since = None;
+            let opened = self.relieve_pressure(now, fleet, rng);
+            if opened {
+                return Some(dropped);
+            }
             if now >= self.last_shortage + CALM_TIME {
                 self.pause = MIN_PAUSE;
             }
             return (!dropped.is_empty()).then_some(dropped);
         };
         self.last_shortage = now;
-        if now < self.next_batch {
+        let since = *self.short_since.get_or_insert(now);
+        if now < since + MIN_SHORTAGE || now < self.next_batch {
             return (!dropped.is_empty()).then_some(dropped);
         }
         self.adapt_pause(shortage, fleet);
         self.next_batch = now + self.pause;
         let batch = self.choose(shortage, fleet, rng);
         self.last_batch = batch.len();
+        self.opened = (!batch.is_empty()).then_some(Opened {
+            cause: Cause::NoWorker,
+            links: batch.len(),
+            used: self.pressure.used(),
+        });
         if batch.is_empty() && dropped.is_empty() {
             return None;
         }
@@ -158,6 +227,50 @@
         Some(dropped)
     }
 
+    /// Returns the batch that the last [`Reach::tick`] has opened.
+    pub fn opened(&self) -> Option<Opened> {
+        self.opened
+    }
+
+    /// Links further agents when the known workers are nearly full or will soon be, unless the last
+    /// such batch was as full. Returns whether it did.
+    fn relieve_pressure(&mut self, now: Uptime, fleet: &Fleet, rng: &mut Rng) -> bool {
+        if !self.pressure.is_due(now) {
+            return false;
+        }
+        let Some((pool, room)) = fleet.fullest_pool() else {
+            return false;
+        };
+        self.pressure.sample(now, room.used());
+        if !self.pressure.is_high() || now < self.next_batch || self.extra.len() >= MAX_EARLY {
+            return false;
+        }
+        let batch = self.extra.keys().rev().take(self.last_batch);
+        let relief = fleet.room_on(batch);
+        let helped = relief.capacity == 0 || relief.used() + MIN_RELIEF <= room.used();
+        self.pause = if helped {
+            PRESSURE_PAUSE
+        } else {
+            (self.pause * 2).clamp(PRESSURE_PAUSE, MAX_PAUSE)
+        };
+        self.next_batch = now + self.pause;
+        let needs = fleet.largest_unit(&pool);
+        let wanted = Shortage {
+            pool,
+            needs,
+            label: None,
+        };
+        let batch = self.choose(&wanted, fleet, rng);
+        self.last_batch = batch.len();
+        self.opened = (!batch.is_empty()).then_some(Opened {
+            cause: Cause::Pressure,
+            links: batch.len(),
+            used: room.used(),
+        });
+        self.extra.extend(batch.into_iter().map(|name| (name, now)));
+        self.opened.is_some()
+    }
+
     fn drop_unused(&mut self, now: Uptime, short: bool, fleet: &Fleet) -> Vec<Name> {
         let mut dropped = Vec::new();
         let agents = &self.agents;
@@ -188,7 +301,8 @@
         };
     }
 
-    /// Returns agents without a link whose workers suit the task. Those that link to this entry by
+    /// Returns agents without a link whose workers suit the task, those in the entry's failure domain
+    /// first. Those that link to this entry by
     /// themselves are left out.
     fn choose(&self, shortage: &Shortage, fleet: &Fleet, rng: &mut Rng) -> Vec<Name> {
         let linked = |name: &Name| {
@@ -206,6 +320,7 @@
             .map(|(name, _)| name)
             .collect();
         rng.shuffle(&mut names);
+        names.sort_by_key(|name| Some(&self.agents[*name].domain) != self.domain.as_ref());
         let comes_by_itself = |name: &Name| {
             let domain = &self.agents[name].domain;
             let own = self.entries.for_agent(name, domain, self.links);
--- a/crates/core/tests/pool_reach.rs
+++ b/crates/core/tests/pool_reach.rs
@@ -28,7 +28,7 @@
     }
 }
 
-fn member(role: Role, name: String, offers: Option<WorkerInfo>) -> Member {
+fn member(role: Role, name: String, domain: usize, offers: Option<WorkerInfo>) -> Member {
     let addr = SocketAddr::from(([127, 0, 0, 1], 1));
     Member {
         node: NodeRef {
@@ -37,7 +37,7 @@
         },
         version: 1,
         role,
-        domain: "d".into(),
+        domain: format!("d{domain}").into(),
         gossip: addr,
         link: addr,
         http: addr,
@@ -48,7 +48,10 @@
     }
 }
 
-/// One entry of many, none of whose agents has room.
+/// Workers that link to the entry by themselves.
+const SUBSET: usize = 12;
+
+/// One entry of many. The test says which shortage there is.
 struct Harness {
     reach: Reach,
     fleet: Fleet,
@@ -61,22 +64,26 @@
 
 impl Harness {
     fn new(has_room: bool) -> Self {
-        let entries = (0..40).map(|i| member(Role::Entry, format!("e{i}"), None));
+        let entries = (0..40).map(|i| member(Role::Entry, format!("e{i}"), i % 4, None));
         let agents = (0..200).map(|i| {
             let info = info(if i % 2 == 0 { "p" } else { "q" }, "l");
-            member(Role::Agent, format!("a{i}"), Some(info))
+            member(Role::Agent, format!("a{i}"), i / 2 % 4, Some(info))
         });
         let members: Vec<Member> = entries.chain(agents).collect();
         let mut reach = Reach::new("e0".into());
         reach.set_members(&members);
-        Self {
+        let mut harness = Self {
             reach,
             fleet: Fleet::default(),
             members,
             now: Duration::from_secs(10),
             rng: Rng::with_seed(1),
             has_room,
+        };
+        for i in 0..SUBSET {
+            harness.link(&format!("own{i}").into());
         }
+        harness
     }
 
     fn targets(&self) -> Vec<Name> {
@@ -105,6 +112,22 @@
         closed
     }
 
+    fn use_own_workers(&mut self, cpu_milli: u32) {
+        let free = Resources {
+            cpu_milli: CAPACITY.cpu_milli - cpu_milli,
+            ..CAPACITY
+        };
+        for i in 0..SUBSET {
+            let report = CapacityReport {
+                open: true,
+                free,
+                ..CapacityReport::default()
+            };
+            let name = format!("own{i}").into();
+            self.fleet.on_capacity_report(self.now, &name, report);
+        }
+    }
+
     fn link(&mut self, name: &Name) {
         self.fleet.link_up(self.now, name);
         self.fleet.on_info(name, info("p", "l"));
@@ -182,3 +205,36 @@
     harness.pass(Duration::from_secs(6), None);
     assert_eq!(harness.targets(), [busy], "only the one with a run is left");
 }
+
+/// Guards against an entry that waits until tasks find no worker before it uses more of them.
+#[test]
+fn workers_that_fill_up_bring_links_in_the_own_domain_before_tasks_wait() {
+    let mut harness = Harness::new(true);
+    harness.pass(10 * TICK, None);
+    for used in [1000, 2000, 3000, 3600] {
+        harness.use_own_workers(used);
+        harness.pass(5 * TICK, None);
+    }
+    let targets = harness.targets();
+    assert!(!targets.is_empty() && targets.len() <= 18, "{targets:?}");
+    for name in &targets {
+        let i: usize = name[1..].parse().expect("a number");
+        assert_eq!(i / 2 % 4, 0, "{name} is in another domain");
+    }
+    harness.use_own_workers(0);
+    harness.pass(Duration::from_secs(6), None);
+    assert!(
+        harness.targets().is_empty(),
+        "links that are of no more use"
+    );
+}
+
+/// Guards against links of all entries to all agents when the whole pool is nearly full.
+#[test]
+fn a_pool_that_is_full_everywhere_brings_few_links_before_tasks_wait() {
+    let mut harness = Harness::new(false);
+    harness.use_own_workers(3900);
+    harness.pass(Duration::from_secs(3), None);
+    let links = harness.targets().len();
+    assert!(links <= 18, "{links} links");
+}
--- a/crates/entry/src/pooled/links.rs
+++ b/crates/entry/src/pooled/links.rs
@@ -59,6 +59,9 @@
             return;
         };
         self.set_targets(now);
+        if let Some(opened) = self.reach.opened() {
+            super::notes::record_opened(opened);
+        }
         log::info!(extra_links = self.reach.targets().count(), closing = closing.len();
             "links to further agents changed");
         for name in closing {
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -9,6 +9,7 @@
 use rw_core::pool::fleet::Basis;
 use rw_core::pool::job::{EndEvidence, RunEnd, RunId};
 use rw_core::pool::msg::NotStarted;
+use rw_core::pool::reach::Opened;
 use rw_core::pool::scheduler::{Answer, Note, Placed, Scheduler};
 use rw_host::metrics;
 use rw_host::net::Net;
@@ -50,6 +51,13 @@
         &["room"],
     )
 });
+static EXTRA_LINKS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_extra_links_total",
+        "Links opened to further agents, by cause: no-worker or pressure",
+        &["cause"],
+    )
+});
 static MOVES: LazyLock<IntCounter> =
     LazyLock::new(|| metrics::counter("rw_pooled_moves_total", "Runs stopped to start elsewhere"));
 
@@ -197,6 +205,16 @@
         ran_ms = ran_ms; "run did not complete");
 }
 
+/// Logs and counts links that were opened to further agents.
+pub fn record_opened(opened: Opened) {
+    let cause = opened.cause.as_str();
+    EXTRA_LINKS
+        .with_label_values(&[cause])
+        .inc_by(opened.links as u64);
+    log::info!(cause = cause, links = opened.links, used = opened.used;
+        "linking further agents");
+}
+
 /// Formats each run as `step.index#attempt@worker`, with the free CPU assumed for the worker in
 /// thousandths of a core, why room is expected there, and in milliseconds the age of the report behind it, the expected run time
 /// and the time waited.
