Entries try workers with some spare room even after they wait; notes and docs of promised room

An entry that had announced waiting jobs used only promised room for 100 ms, also where a worker had room for three such tasks.

--- a/crates/core/src/pool/fleet/choice.rs
+++ b/crates/core/src/pool/fleet/choice.rs
@@ -27,8 +27,8 @@
 /// Room for so many tasks of the same needs is safe to use without a promise: other entries hardly
 /// take all of it before the start arrives.
 const AMPLE_TASKS: u32 = 6;
-/// With room for so many such tasks a start is tried without a promise before the entry announces
-/// that jobs wait, and is promised room a round trip later.
+/// With room for so many such tasks a start is tried without a promise. With less, the agent
+/// promises room soon after the entry announces that jobs wait.
 const FEW_TASKS: u32 = 3;
 /// Upper bound of the ratio of run time to estimate.
 const MAX_RUN_FACTOR: f64 = 100.0;
@@ -88,9 +88,9 @@
     /// Returns the worker with the best score (speed, free CPU, failures) among those that have the
     /// capacity for the task and on which it is expected to end in time; `None` if there is none.
     ///
-    /// Workers with room that is promised or ample come first, others only while agents do not know
-    /// that jobs wait here, or if the task is larger than what they promise. A random sample of
-    /// workers is tried before all of them. `allowed` can exclude workers.
+    /// Workers with room that is promised or ample come first, then those with room for a few such
+    /// tasks, or where the task is larger than what is promised at a time. A random sample of workers
+    /// is tried before all of them. `allowed` can exclude workers.
     pub fn choose<F>(
         &self,
         now: Uptime,
@@ -116,11 +116,7 @@
         }
         let safe = self.workers.iter().filter(|(_, w)| w.is_safe(needs));
         self.best_of(now, need, safe, &allowed, rng).or_else(|| {
-            let others = self.workers.iter();
-            let others = others.filter(|(_, w)| {
-                !need.announced && needs.times(FEW_TASKS).fits(w.obtainable())
-                    || !needs.fits(w.report.unit)
-            });
+            let others = self.workers.iter().filter(|(_, w)| w.may_be_asked(needs));
             self.best_of(now, need, others, &allowed, rng)
         })
     }
@@ -209,6 +205,11 @@
         }
     }
 
+    /// Returns whether a start is worth a try without a promise.
+    fn may_be_asked(&self, needs: Resources) -> bool {
+        needs.times(FEW_TASKS).fits(self.obtainable()) || !needs.fits(self.report.unit)
+    }
+
     /// Returns whether a start is hardly refused for lack of room.
     fn is_safe(&self, needs: Resources) -> bool {
         self.basis(needs) != Basis::Contended
