--- a/crates/core/tests/pool_cold.rs
+++ b/crates/core/tests/pool_cold.rs
@@ -67,6 +67,7 @@
         pool: &pool,
         step: &step,
         in_time,
+        announced: false,
     };
     let choice = fleet.choose(now, need, |_| true, &mut Rng::with_seed(1))?;
     Some((choice.worker, choice.expected))
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -6,8 +6,10 @@
 
 use prometheus::{HistogramVec, IntCounter, IntCounterVec};
 use rw_core::ids::Name;
+use rw_core::pool::fleet::Basis;
 use rw_core::pool::job::{EndEvidence, JobId, RunEnd, RunId};
 use rw_core::pool::msg::NotStarted;
+use rw_core::pool::reach::Opened;
 use rw_core::pool::scheduler::{Answer, CancelAnswer, EvacuationEffect, Note, Placed, Scheduler};
 use rw_host::metrics;
 use rw_host::net::Net;
@@ -42,6 +44,27 @@
         &["answer"],
     )
 });
+static STARTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_starts_total",
+        "Starts sent, by why room was expected: promised to this entry, ample, or contended",
+        &["room"],
+    )
+});
+static NO_ROOM: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_starts_without_room_total",
+        "Starts refused for lack of room, by why room was expected",
+        &["room"],
+    )
+});
+static EXTRA_LINKS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_extra_links_total",
+        "Links opened to further agents, by cause: no-worker or pressure",
+        &["cause"],
+    )
+});
 static MOVES: LazyLock<IntCounter> =
     LazyLock::new(|| metrics::counter("rw_pooled_moves_total", "Runs stopped to start elsewhere"));
 
@@ -87,7 +110,7 @@
             log::info!(job:% = job, request:% = request, reason = reason; "job declined");
         }
         Note::Placed { job, queue, runs } => {
-            record_waits(queue, runs);
+            record_placements(queue, runs);
             log::info!(job:% = job, runs = format_placements(runs); "runs sent");
         }
         Note::RunEnded {
@@ -103,8 +126,9 @@
             run,
             worker,
             reason,
+            basis,
         } => {
-            record_refusal(*run, worker, *reason);
+            record_refusal(*run, worker, *reason, *basis);
         }
         Note::Moved {
             run,
@@ -163,19 +187,15 @@
     }
 }
 
-fn record_waits(queue: &Name, runs: &[Placed]) {
+fn record_placements(queue: &Name, runs: &[Placed]) {
     let waits = WAITS.with_label_values(&[&**queue]);
-    for run in runs {
-        waits.observe(run.waited.as_secs_f64());
+    for placed in runs {
+        let basis = placed.choice.basis.as_str();
+        STARTS.with_label_values(&[basis]).inc();
+        waits.observe(placed.waited.as_secs_f64());
     }
 }
 
-fn record_refusal(run: RunId, worker: &Name, reason: NotStarted) {
-    let kind = format!("{reason:?}");
-    RUNS.with_label_values(&[&kind]).inc();
-    log::info!(run:% = run, worker:% = worker, end = kind, ran_ms = 0; "run did not complete");
-}
-
 fn record_cancel_answer(job: JobId, answer: CancelAnswer, waited: Duration) {
     let kind = format!("{answer:?}");
     CANCELS.with_label_values(&[&kind]).inc();
@@ -187,6 +207,17 @@
         refused = effect.refused; "workers in reach changed with the evacuated domains");
 }
 
+fn record_refusal(run: RunId, worker: &Name, reason: NotStarted, basis: Option<Basis>) {
+    let kind = format!("{reason:?}");
+    let basis = basis.map_or("", Basis::as_str);
+    RUNS.with_label_values(&[&kind]).inc();
+    if reason == NotStarted::NoRoom {
+        NO_ROOM.with_label_values(&[basis]).inc();
+    }
+    log::info!(run:% = run, worker:% = worker, end = kind, room = basis, ran_ms = 0;
+        "run did not complete");
+}
+
 fn record_run_end(run: RunId, worker: &Name, (end, evidence): (RunEnd, EndEvidence), ran_ms: u32) {
     let kind = format!("{end:?}");
     RUNS.with_label_values(&[&kind]).inc();
@@ -203,8 +234,18 @@
         ran_ms = ran_ms; "run did not complete");
 }
 
+/// Logs and counts links that were opened to further agents.
+pub fn record_opened(opened: Opened) {
+    let cause = opened.cause.as_str();
+    EXTRA_LINKS
+        .with_label_values(&[cause])
+        .inc_by(opened.links as u64);
+    log::info!(cause = cause, links = opened.links, used = opened.used;
+        "linking further agents");
+}
+
 /// Formats each run as `step.index#attempt@worker`, with the free CPU assumed for the worker in
-/// thousandths of a core, and in milliseconds the age of the report behind it, the expected run time
+/// thousandths of a core, why room is expected there, and in milliseconds the age of the report behind it, the expected run time
 /// and the time waited.
 fn format_placements(runs: &[Placed]) -> String {
     let mut text = String::with_capacity(runs.len() * 64);
@@ -216,12 +257,13 @@
     {
         let _ = write!(
             text,
-            "{}.{}#{}@{} free={} age={} expected={} waited={};",
+            "{}.{}#{}@{} free={} room={} age={} expected={} waited={};",
             run.task.step,
             run.task.index,
             run.attempt,
             choice.worker,
             choice.free.cpu_milli,
+            choice.basis.as_str(),
             ms(choice.age),
             ms(choice.expected),
             ms(*waited)
@@ -230,7 +272,7 @@
     text
 }
 
-/// Updates the gauges of jobs, ejected workers and connections.
+/// Updates the gauges of jobs, room, ejected workers and connections.
 pub fn update_gauges(scheduler: &Scheduler, net: &Net) {
     let set = |what: &str, value: usize| {
         metrics::HELD.with_label_values(&[what]).set(value as i64);
@@ -239,6 +281,10 @@
     set("evacuated_workers", scheduler.fleet().evacuated());
     set("open_jobs", scheduler.open_jobs());
     set("ejected_workers", scheduler.fleet().ejected());
+    let room = scheduler.fleet().room();
+    set("free_cpu_milli", room.free as usize);
+    set("promised_cpu_milli", room.promised as usize);
+    set("reserved_for_others_cpu_milli", room.reserved as usize);
     set("connections", conns);
     set("connections_refused", refused as usize);
 }
