Under overload, shares of queues over all entries decide who is served

Cause: a queue's priority was decoded and used by nothing; each entry counted an equal share over its own sends only, ordered by aim alone and refused by the time to clear the whole backlog. A start that found no room made its job count as begun, so that it could not be refused any more and was broken off at its deadline.

Change: for pools whose queues differ in priority, entries exchange their load (Peer::Load, only while work waits) and divide the pool by max-min; overload has hysteresis; begun jobs go first, then queues within their share by latest start, then the smallest of the others, with floors by size and queue. A job is refused when its turn comes too late to be of use and no worker has room for it now. Pools with one priority keep their order; there only a job whose starts were all refused for want of room is now answered as not run.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -12,9 +12,11 @@
 pub mod catalog;
 pub mod driver;
 pub mod fleet;
+pub mod floors;
 pub mod job;
 pub mod lookahead;
 pub mod msg;
+pub mod overload;
 pub mod owners;
 pub mod reach;
 pub mod scheduler;
--- a/crates/core/src/pool/job.rs
+++ b/crates/core/src/pool/job.rs
@@ -129,6 +129,13 @@
     pub per_worker: u16,
 }
 
+impl Step {
+    /// Returns the estimated work of one task, in core-milliseconds.
+    pub fn work(&self) -> f64 {
+        self.estimate.as_secs_f64() * f64::from(self.needs.cpu_milli)
+    }
+}
+
 /// A job as it was submitted.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Job {
@@ -154,6 +161,12 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Returns the estimated work of all tasks, in core-milliseconds.
+    pub fn work(&self) -> f64 {
+        let steps = self.steps.iter();
+        steps.map(|step| step.work() * f64::from(step.count)).sum()
+    }
+
     /// Returns the number of tasks of all steps.
     pub fn tasks(&self) -> usize {
         self.steps.iter().map(|step| usize::from(step.count)).sum()
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -1,5 +1,6 @@
 //! Scheduling of pooled jobs at an entry: admission, ordering, placement, retries and answers.
 
+mod contention;
 mod load;
 mod note;
 mod open_job;
@@ -16,15 +17,18 @@
 
 pub use note::{Action, Answer, Note, Placed};
 
+use contention::QueueRanks;
 use load::PoolLoad;
-use open_job::{Hold, OpenJob, Rank, Task, TaskState, Tier};
+use open_job::{Hold, OpenJob, Rank, Task, TaskState};
 use peers::YieldRequest;
 
 use super::catalog::Queue;
 use super::fleet::Fleet;
 use super::job::{Job, JobId, Resources, RunId};
 use super::msg::{Peer, ToAgent, WorkerInfo};
+use super::overload::{Order, Tier};
 use super::owners::{MAX_RUN_TIME_AFTER_LOSS, Owners};
+use super::shares::Shares;
 use super::{MAX_TIME, Uptime, scaled};
 use crate::ids::Name;
 
@@ -73,8 +77,12 @@
     last_waiting: Uptime,
     /// Jobs that began to wait, or began again, since the last placement.
     untried: Vec<JobId>,
-    /// Work sent recently, by pool.
+    /// Recent load, by pool.
     loads: IndexMap<Name, PoolLoad>,
+    /// Load of the other entries.
+    shares: Shares,
+    /// Queues of the catalogue in force.
+    queues: QueueRanks,
     next_ranking: Uptime,
     last_observed: Uptime,
     rng: Rng,
@@ -98,6 +106,8 @@
             last_waiting: now,
             untried: Vec::new(),
             loads: IndexMap::new(),
+            shares: Shares::default(),
+            queues: QueueRanks::default(),
             next_ranking: now,
             last_observed: now,
             rng,
@@ -212,6 +222,7 @@
             deadline,
             waits_for,
         }));
+        let size = self.on_asked(now, &spec, &queue);
         let job = OpenJob {
             tasks: self.new_tasks(now, &spec),
             left: spec.steps.iter().map(|step| step.count).collect(),
@@ -223,7 +234,9 @@
             deadline: now + deadline,
             hold,
             starts: 0,
-            rank: (Tier::InTime, now + aim, id),
+            refused_starts: 0,
+            rank: (Tier::InTime, Order::by_time(now + aim), id),
+            size,
             unplaced_tier: None,
         };
         self.owners.job_started(id);
@@ -315,7 +328,7 @@
     /// Answers a job that will not complete: [`Answer::NotRun`] if no task was sent, otherwise
     /// [`Answer::OutcomeUnknown`].
     fn abort(&mut self, now: Uptime, id: JobId, reason: &'static str, out: &mut Vec<Action>) {
-        let started = self.jobs.get(&id).is_some_and(|job| job.starts > 0);
+        let started = self.jobs.get(&id).is_some_and(OpenJob::may_have_run);
         let answer = if started {
             Answer::OutcomeUnknown(reason)
         } else {
@@ -335,6 +348,13 @@
         for caller in &job.callers {
             out.push(Action::Answer(*caller, answer.clone()));
         }
+        if !job.may_have_run() {
+            self.loads.entry(job.queue.pool.clone()).or_default().lost(
+                now,
+                &job.queue.name,
+                job.size,
+            );
+        }
         out.push(Action::Note(Note::Answered {
             job: id,
             queue: job.queue.name.clone(),
@@ -393,6 +413,8 @@
         self.release_holds(now, out);
         self.answer_overdue(now, out);
         self.place_all(now, out);
+        self.refuse_hopeless(now, out);
+        self.report_load(now, out);
     }
 
     /// Answers jobs whose deadline has passed, and those not started whose deadline is nearer than
--- a/crates/core/src/pool/scheduler/load.rs
+++ b/crates/core/src/pool/scheduler/load.rs
@@ -9,11 +9,13 @@
 
 use indexmap::IndexMap;
 
+use super::super::floors::{Floors, SizeClass};
+use super::super::overload::OverloadGate;
+use super::super::shares::Rates;
 use super::super::{Uptime, scaled, seconds};
-use super::{Action, Answer, JobId, Name, Note, OpenJob, Rank, Scheduler, Tier};
+use super::contention::PoolView;
+use super::{Action, Answer, JobId, Name, Note, OpenJob, Order, Rank, Scheduler, TaskState, Tier};
 
-/// Time constant of the exponential decay of the work sent to a pool.
-const DECAY_TIME: Duration = Duration::from_secs(1);
 /// A pool is overloaded if its backlog takes longer than this to clear.
 const OVERLOAD_BACKLOG: Duration = Duration::from_millis(50);
 /// Factor on the expected run time of a task when it is checked against the aim.
@@ -27,49 +29,51 @@
 /// Multiple of the time from arrival to aim after which an answer is of little use to its caller.
 const USEFUL_AIM_FACTOR: f64 = 3.0;
 /// Minimum interval between two rankings of all waiting jobs.
-const RANKING_INTERVAL: Duration = Duration::from_millis(5);
+pub(super) const RANKING_INTERVAL: Duration = Duration::from_millis(5);
 /// Lower bound of the rate of work sent to a pool, in core-milliseconds per second: one core.
 const MIN_RATE: f64 = 1000.0;
 
-/// Work that this entry sent to one pool recently, by queue, in core-milliseconds with exponential
-/// decay.
+/// Recent load of one pool at this entry.
 #[derive(Debug, Default)]
 pub(super) struct PoolLoad {
-    queues: IndexMap<Name, f64>,
-    /// Time of the last decay.
-    decayed_at: Uptime,
+    /// Work that callers submitted.
+    pub(super) asked: Rates,
+    /// Work that was sent to workers.
+    pub(super) sent: Rates,
+    pub(super) floors: Floors,
+    pub(super) gate: OverloadGate,
+    pub(super) view: PoolView,
 }
 
 impl PoolLoad {
-    fn decay(&mut self, now: Uptime) {
-        let elapsed = now.saturating_sub(self.decayed_at).as_secs_f64();
-        let remaining = (-elapsed / DECAY_TIME.as_secs_f64()).exp();
-        self.queues.retain(|_, work| {
-            *work *= remaining;
-            *work > 1.0
-        });
-        self.decayed_at = now;
+    pub(super) fn decay(&mut self, now: Uptime) {
+        self.asked.decay(now);
+        self.sent.decay(now);
     }
 
     /// Adds work that is sent now, in core-milliseconds.
-    pub(super) fn add(&mut self, now: Uptime, queue: &Name, work: f64) {
-        self.decay(now);
-        *self.queues.entry(queue.clone()).or_default() += work;
+    pub(super) fn sent(&mut self, now: Uptime, queue: &Name, work: f64) {
+        self.sent.add(now, queue, work);
     }
 
-    fn total(&self) -> f64 {
-        self.queues.values().sum()
+    /// Records the first start of a job.
+    pub(super) fn begun(&mut self, now: Uptime, queue: &Name, size: SizeClass) {
+        self.floors.begun(now, queue, size);
+    }
+
+    /// Records a job that is given up before its first start.
+    pub(super) fn lost(&mut self, now: Uptime, queue: &Name, size: SizeClass) {
+        self.floors.lost(now, queue, size);
     }
 
     /// Returns the rate of work sent, in core-milliseconds per second.
-    fn rate(&self) -> f64 {
-        (self.total() / DECAY_TIME.as_secs_f64()).max(MIN_RATE)
+    pub(super) fn rate(&self) -> f64 {
+        self.sent.total().max(MIN_RATE)
     }
 
     /// Returns whether a queue uses more than an equal share of the pool.
     fn is_above_share(&self, queue: &Name) -> bool {
-        let own = self.queues.get(queue).copied().unwrap_or(0.0);
-        own * self.queues.len() as f64 > self.total()
+        self.sent.of(queue) * self.sent.queues() as f64 > self.sent.total()
     }
 }
 
@@ -90,6 +94,7 @@
         }
         self.next_ranking = now + RANKING_INTERVAL;
         let backlogs = self.backlogs(now);
+        self.rank_contended(now, out);
         let ranks: Vec<Rank> = self.waiting.iter().copied().collect();
         let mut refused = Vec::new();
         for rank in ranks {
@@ -98,6 +103,9 @@
                 continue;
             };
             let pool = &job.queue.pool;
+            if self.queues.is_contended(pool) {
+                continue;
+            }
             let (Some(load), Some(backlog)) = (self.loads.get(pool), backlogs.get(pool)) else {
                 continue;
             };
@@ -119,7 +127,8 @@
             } else {
                 Tier::InTime
             };
-            self.set_tier(id, tier);
+            let order = Order::by_time(job.aim);
+            self.set_rank(id, tier, order);
         }
         for (id, wait) in refused {
             self.refuse_overload(now, id, wait, out);
@@ -135,15 +144,16 @@
         self.answer(now, id, &answer, out);
     }
 
-    fn set_tier(&mut self, id: JobId, tier: Tier) {
+    pub(super) fn set_rank(&mut self, id: JobId, tier: Tier, order: Order) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let rank = (tier, job.rank.1, id);
+        let rank = (tier, order, id);
         if rank != job.rank {
-            self.waiting.remove(&job.rank);
+            if self.waiting.remove(&job.rank) {
+                self.waiting.insert(rank);
+            }
             job.rank = rank;
-            self.waiting.insert(rank);
         }
     }
 
@@ -173,27 +183,33 @@
 
     /// Returns whether the job's ready tasks are expected to miss its aim if they are sent now.
     fn is_late(&self, now: Uptime, job: &OpenJob) -> bool {
+        now + self.expected_run(job) > job.aim
+    }
+
+    /// Returns the expected run time of the job's ready tasks, with a margin.
+    pub(super) fn expected_run(&self, job: &OpenJob) -> Duration {
         let factor = self.fleet.median_factor(&job.queue.pool);
-        let expected = job.ready_estimate();
-        let expected = scaled(expected, factor.clamp(0.2, 5.0) * RUN_MARGIN);
-        now + expected > job.aim
+        scaled(job.ready_estimate(), factor.clamp(0.2, 5.0) * RUN_MARGIN)
     }
 }
 
 impl OpenJob {
     /// Returns the time after which an answer is of little use to the caller.
-    fn useful_until(&self) -> Uptime {
+    pub(super) fn useful_until(&self) -> Uptime {
         self.arrived + scaled(self.aim.saturating_sub(self.arrived), USEFUL_AIM_FACTOR)
     }
 
     /// Returns the work of the ready tasks, in core-milliseconds.
-    fn ready_work(&self) -> f64 {
+    pub(super) fn ready_work(&self) -> f64 {
         let ready = self.tasks.iter().filter(|task| self.is_ready(task));
-        let work = ready.map(|task| {
-            let step = self.step(task);
-            step.estimate.as_secs_f64() * f64::from(step.needs.cpu_milli)
-        });
-        work.sum()
+        ready.map(|task| self.step(task).work()).sum()
+    }
+
+    /// Returns the work of all tasks that were not sent, in core-milliseconds.
+    pub(super) fn unsent_work(&self) -> f64 {
+        let unsent = self.tasks.iter();
+        let unsent = unsent.filter(|task| task.state == TaskState::Waiting);
+        unsent.map(|task| self.step(task).work()).sum()
     }
 
     /// Returns the longest estimate among the ready tasks.
@@ -206,7 +222,7 @@
     /// Returns whether a late job that was not started is to be refused.
     ///
     /// `time_to_clear` is the expected time until the backlog is cleared.
-    fn should_refuse(&self, now: Uptime, time_to_clear: Duration) -> bool {
+    pub(super) fn should_refuse(&self, now: Uptime, time_to_clear: Duration) -> bool {
         let waited = now.saturating_sub(self.arrived);
         let max_wait = scaled(self.deadline.saturating_sub(self.arrived), LATE_WAIT_SHARE);
         self.unplaced_tier == Some(Tier::Late)
--- a/crates/core/src/pool/scheduler/note.rs
+++ b/crates/core/src/pool/scheduler/note.rs
@@ -5,6 +5,7 @@
 use super::super::fleet::Choice;
 use super::super::job::{EndEvidence, JobId, RunEnd, RunId};
 use super::super::msg::{NotStarted, Peer, ToAgent};
+use super::super::overload::{Room, Tier};
 use crate::ids::Name;
 
 /// The answer to a job.
@@ -176,6 +177,38 @@
         /// Expected time until the backlog of its pool is cleared.
         wait: Duration,
     },
+    /// A job of a pool whose queues differ in priority was refused.
+    Hopeless {
+        /// The job.
+        job: JobId,
+        /// Its queue.
+        queue: Name,
+        /// Place among the waiting jobs.
+        tier: Tier,
+        /// Time since its arrival.
+        waited: Duration,
+        /// Expected time until its turn.
+        wait: Duration,
+        /// Work placed before it, in core-milliseconds.
+        before: f64,
+        /// What was known of the pool.
+        room: Room,
+        /// Number of other entries that had reported their load, and age of the oldest report.
+        reports: (usize, Duration),
+    },
+    /// A pool became overloaded, or is no longer.
+    OverloadChanged {
+        /// The pool.
+        pool: Name,
+        /// The new state.
+        overloaded: bool,
+        /// Time that the waiting work of this entry takes to clear.
+        own_wait: Duration,
+        /// Time that the waiting work of all entries takes to clear.
+        all_wait: Duration,
+        /// Number of other entries that had reported their load, and age of the oldest report.
+        reports: (usize, Duration),
+    },
     /// A worker was ejected because it fails far more often than its peers.
     Ejected {
         /// The worker.
--- a/crates/core/src/pool/scheduler/open_job.rs
+++ b/crates/core/src/pool/scheduler/open_job.rs
@@ -5,7 +5,9 @@
 
 use super::super::Uptime;
 use super::super::catalog::Queue;
+use super::super::floors::SizeClass;
 use super::super::job::{Job, JobId, RunId, Step, TaskId};
+use super::super::overload::{Order, Tier};
 use crate::ids::Name;
 
 /// State of a task.
@@ -66,27 +68,16 @@
     pub(super) left: Vec<u16>,
     /// Number of starts sent to agents.
     pub(super) starts: u32,
+    /// Number of those that agents refused for want of room, which certainly did not run.
+    pub(super) refused_starts: u32,
     pub(super) rank: Rank,
+    pub(super) size: SizeClass,
     /// Tier in which the job last found no worker.
     pub(super) unplaced_tier: Option<Tier>,
 }
 
-/// Priority class of a waiting job; jobs of earlier variants are placed first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) enum Tier {
-    /// The job can meet its aim.
-    InTime,
-    /// The job will be late, but part of it was sent: finishing it costs less than starting
-    /// another.
-    Started,
-    /// The job can meet its aim, but its queue uses more than its share of an overloaded pool.
-    AboveShare,
-    /// The job is expected to miss its aim.
-    Late,
-}
-
-/// Position among waiting jobs: by tier, then by aim, then by id.
-pub(super) type Rank = (Tier, Uptime, JobId);
+/// Position among waiting jobs: by tier, then by order, then by id.
+pub(super) type Rank = (Tier, Order, JobId);
 
 impl OpenJob {
     /// Returns the id of the task's latest attempt.
@@ -115,6 +106,18 @@
                 .all(|i| self.left.get(usize::from(*i)) == Some(&0))
     }
 
+    /// Returns whether a task of it may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.starts > self.refused_starts
+    }
+
+    /// Returns whether a task is at a worker or done.
+    pub(super) fn is_begun(&self) -> bool {
+        self.tasks
+            .iter()
+            .any(|task| task.state != TaskState::Waiting)
+    }
+
     pub(super) fn has_ready(&self) -> bool {
         self.tasks.iter().any(|task| self.is_ready(task))
     }
--- a/crates/core/src/pool/scheduler/peers.rs
+++ b/crates/core/src/pool/scheduler/peers.rs
@@ -22,6 +22,7 @@
     pub fn set_entry_count(&mut self, entries: usize) {
         let interval = KeepAlive::between_entries(entries).ping_every;
         self.owners.set_announce_interval(interval);
+        self.shares.set_entries(entries, interval);
     }
 
     /// Sets the entries that are alive by the member list. The loss of the link to one of them is no
@@ -71,7 +72,8 @@
                     self.abort(now, job, "cancelled by the caller", out);
                 }
             }
-            Peer::Cancelled { .. } | Peer::Load(_) => {}
+            Peer::Load(report) => self.shares.on_report(now, entry, report),
+            Peer::Cancelled { .. } => {}
         }
     }
 
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -3,6 +3,7 @@
 use super::super::fleet::Need;
 use super::super::job::Resources;
 use super::super::msg::{Start, ToAgent};
+use super::super::overload::due_time;
 use super::super::reach::Shortage;
 use super::super::{Uptime, millis};
 use super::{Action, Duration, JobId, Name, Note, Placed, Rank, Scheduler, TaskState, Tier};
@@ -20,13 +21,10 @@
 /// jobs start and stop waiting up to 140 times a second; without the delay, each would cost two
 /// messages to every agent.
 const WAITING_END_DELAY: Duration = Duration::from_millis(100);
-/// Due time, from now, of tasks that cannot meet their aim: agents queue them behind those that
-/// can.
-const LATE_DUE: Duration = Duration::from_secs(10);
 
 /// The workers considered for a placement.
 #[derive(Clone, Copy)]
-enum Candidates<'a> {
+pub(super) enum Candidates<'a> {
     All,
     /// Only these: no other worker has gained capacity since the job was last tried.
     Freed(&'a [Name]),
@@ -53,6 +51,7 @@
         for rank in ranks {
             self.place_job(now, rank.2, Candidates::All, most_free, out);
         }
+        self.refuse_hopeless(now, out);
         self.announce_waiting(now, out);
     }
 
@@ -125,7 +124,7 @@
     ///
     /// `most_free` is an upper bound of each resource that is free on one of the workers
     /// considered.
-    fn place_job(
+    pub(super) fn place_job(
         &mut self,
         now: Uptime,
         id: JobId,
@@ -157,8 +156,7 @@
             let allowed = |name: &Name| {
                 step.per_worker == 0 || count_on_worker(name) < usize::from(step.per_worker)
             };
-            let in_time = (job.rank.0 < Tier::Late && job.rank.0 != Tier::Started)
-                .then(|| job.aim.saturating_sub(now));
+            let in_time = job.rank.0.is_in_time().then(|| job.aim.saturating_sub(now));
             let need = Need {
                 pool: &job.queue.pool,
                 step: &step,
@@ -185,15 +183,18 @@
             job.starts += 1;
             let run = job.run(&job.tasks[i]);
             self.fleet.start_sent(now, &choice.worker, step.needs);
-            let work = step.estimate.as_secs_f64() * f64::from(step.needs.cpu_milli);
+            let work = step.work();
             let load = self.loads.entry(job.queue.pool.clone()).or_default();
-            load.add(now, &job.queue.name, work);
+            load.sent(now, &job.queue.name, work);
+            if job.starts == 1 {
+                load.begun(now, &job.queue.name, job.size);
+            }
             let start = Start {
                 run,
                 needs: step.needs,
                 estimate_ms: millis(step.estimate),
-                due_ms: millis(in_time.unwrap_or(LATE_DUE)),
-                max_queue_ms: if self.jobs_left_waiting {
+                due_ms: millis(due_time(job.rank.0, job.aim.saturating_sub(now))),
+                max_queue_ms: if self.jobs_left_waiting && job.rank.0 != Tier::Deferred {
                     MAX_AGENT_WAIT_MS
                 } else {
                     0
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -121,7 +121,13 @@
         out: &mut Vec<Action>,
     ) {
         match reason {
-            NotStarted::NoRoom => self.fleet.capacity_refused(name),
+            NotStarted::NoRoom => {
+                self.fleet.capacity_refused(name);
+                let is_current = self.is_current(name, run);
+                if let Some(job) = self.jobs.get_mut(&run.task.job).filter(|_| is_current) {
+                    job.refused_starts += 1;
+                }
+            }
             NotStarted::NoWorker | NotStarted::Unhealthy => self.fleet.start_refused(now, name),
             NotStarted::OldAttempt => {
                 if let Some(job) = self.jobs.get_mut(&run.task.job) {
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -263,6 +263,7 @@
         log::info!(version = catalog.version, queues = catalog.queues.len(); "catalogue in force");
         self.catalog_version = catalog.version;
         self.queues = Some(QueueTable::new(catalog));
+        self.scheduler.set_catalog(catalog);
         self.net.set_limits(http_limits(&catalog.limits));
     }
 
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -32,6 +32,27 @@
         &["queue"],
     )
 });
+static ASKED: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_asked_total",
+        "Jobs accepted for scheduling, by queue",
+        &["queue"],
+    )
+});
+static REFUSALS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_refusals_total",
+        "Jobs refused because their turn would come too late, by place in line",
+        &["queue", "tier"],
+    )
+});
+static OVERLOADS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_overloads_total",
+        "Begins and ends of overload of a pool",
+        &["pool", "state"],
+    )
+});
 static RUNS: LazyLock<IntCounterVec> =
     LazyLock::new(|| metrics::counters("rw_pooled_runs_total", "Runs by their end", &["end"]));
 static MOVES: LazyLock<IntCounter> =
@@ -63,6 +84,7 @@
             deadline,
             waits_for,
         } => {
+            ASKED.with_label_values(&[&**queue]).inc();
             log::info!(job:% = job, request:% = request, queue:% = queue, tasks = tasks, aim_ms = ms(*aim),
                 deadline_ms = ms(*deadline), version = version,
                 waits_for = waits_for.as_deref().unwrap_or(""); "job accepted");
@@ -143,6 +165,7 @@
         Note::Overload { job, wait } => {
             log::info!(job:% = job, wait_ms = ms(*wait); "job refused because of overload");
         }
+        Note::Hopeless { .. } | Note::OverloadChanged { .. } => record_overload(note),
         Note::Ejected { worker, failing } => {
             log::warn!(worker:% = worker, failing = failing; "worker ejected");
         }
@@ -152,6 +175,42 @@
     }
 }
 
+fn record_overload(note: &Note) {
+    match note {
+        Note::Hopeless {
+            job,
+            queue,
+            tier,
+            waited,
+            wait,
+            before,
+            room,
+            reports: (reports, age),
+        } => {
+            let tier = format!("{tier:?}");
+            REFUSALS.with_label_values(&[&**queue, &tier]).inc();
+            log::info!(job:% = job, queue:% = queue, tier = tier, waited_ms = ms(*waited),
+                wait_ms = ms(*wait), before = before.round(), rate = room.rate.round(),
+                asked = room.asked.round(), in_time = room.in_time.round(), reports = reports,
+                age_ms = ms(*age); "job refused: its turn would come too late");
+        }
+        Note::OverloadChanged {
+            pool,
+            overloaded,
+            own_wait,
+            all_wait,
+            reports: (reports, age),
+        } => {
+            let state = if *overloaded { "begun" } else { "ended" };
+            OVERLOADS.with_label_values(&[&**pool, state]).inc();
+            log::info!(pool:% = pool, overloaded = overloaded, own_wait_ms = ms(*own_wait),
+                all_wait_ms = ms(*all_wait), reports = reports, age_ms = ms(*age);
+                "overload of a pool changed");
+        }
+        _ => {}
+    }
+}
+
 fn record_run_end(run: RunId, worker: &Name, (end, evidence): (RunEnd, EndEvidence), ran_ms: u32) {
     let kind = format!("{end:?}");
     RUNS.with_label_values(&[&kind]).inc();
