--- a/crates/core/src/pool/scheduler/load.rs
+++ b/crates/core/src/pool/scheduler/load.rs
@@ -56,6 +56,11 @@
         self.sent.add(now, queue, work);
     }
 
+    /// Takes back work that an agent refused, in core-milliseconds.
+    pub(super) fn returned(&mut self, now: Uptime, queue: &Name, work: f64) {
+        self.sent.add(now, queue, -work);
+    }
+
     /// Records the first start of a job.
     pub(super) fn begun(&mut self, now: Uptime, queue: &Name, size: SizeClass) {
         self.floors.begun(now, queue, size);
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -4,7 +4,7 @@
 
 use super::super::Uptime;
 use super::super::fleet::Need;
-use super::super::job::{EndEvidence, Resources, RunEnd, RunId};
+use super::super::job::{EndEvidence, Resources, RunEnd, RunId, Step};
 use super::super::msg::{NotStarted, ToAgent, ToEntry};
 use super::super::owners::MAX_RUN_TIME_AFTER_LOSS;
 use super::super::seconds;
@@ -120,14 +120,11 @@
         reason: NotStarted,
         out: &mut Vec<Action>,
     ) {
+        if self.is_current(name, run) {
+            self.count_refused(now, run, reason);
+        }
         match reason {
-            NotStarted::NoRoom => {
-                self.fleet.capacity_refused(name);
-                let is_current = self.is_current(name, run);
-                if let Some(job) = self.jobs.get_mut(&run.task.job).filter(|_| is_current) {
-                    job.refused_starts += 1;
-                }
-            }
+            NotStarted::NoRoom => self.fleet.capacity_refused(name),
             NotStarted::NoWorker | NotStarted::Unhealthy => self.fleet.start_refused(now, name),
             NotStarted::OldAttempt => {
                 if let Some(job) = self.jobs.get_mut(&run.task.job) {
@@ -152,6 +149,24 @@
         self.on_run_end(now, name, run, RunEnd::Gone, out);
     }
 
+    /// Takes a start that was refused back from the work sent.
+    fn count_refused(&mut self, now: Uptime, run: RunId, reason: NotStarted) {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            return;
+        };
+        if reason == NotStarted::NoRoom {
+            job.refused_starts += 1;
+        }
+        let step = job.spec.steps.get(usize::from(run.task.step));
+        let work = step.map_or(0.0, Step::work);
+        let pool = &job.queue.pool;
+        if let Some(load) = self.loads.get_mut(pool)
+            && self.queues.is_contended(pool)
+        {
+            load.returned(now, &job.queue.name, work);
+        }
+    }
+
     /// Returns whether the run is the current one of its task and was sent to this worker.
     fn is_current(&self, name: &Name, run: RunId) -> bool {
         self.jobs.get(&run.task.job).is_some_and(|job| {
--- a/crates/core/src/pool/shares.rs
+++ b/crates/core/src/pool/shares.rs
@@ -86,10 +86,11 @@
         self.decayed_at = now;
     }
 
-    /// Adds work of this moment, in core-milliseconds.
+    /// Adds work of this moment, in core-milliseconds; negative work is taken back.
     pub fn add(&mut self, now: Uptime, queue: &Name, work: f64) {
         self.decay(now);
-        *self.queues.entry(queue.clone()).or_default() += work;
+        let sum = self.queues.entry(queue.clone()).or_default();
+        *sum = (*sum + work).max(0.0);
     }
 
     /// Returns the rate of a queue as of the last decay.
