Begun jobs are finished first also when they are late

Retry-After is the time until the work before the job is placed, no longer the time until a late job would have its turn.

--- a/crates/core/src/pool/overload.rs
+++ b/crates/core/src/pool/overload.rs
@@ -67,7 +67,8 @@
 pub enum Tier {
     /// Under overload: part of the job was sent, and it can meet its aim.
     Begun,
-    /// Under overload: part of the job was sent, and a late answer is still of use.
+    /// Under overload: part of the job was sent, and it will be late. Given up, it would leave its
+    /// caller without an answer.
     BegunLate,
     /// Under overload: the job can meet its aim, its queue gets all that it asks for, and jobs of its
     /// size or queue were served too rarely.
@@ -124,8 +125,9 @@
 pub fn due_time(tier: Tier, left: Duration) -> Duration {
     match tier {
         Tier::Begun | Tier::Owed | Tier::InTime | Tier::AboveShare => left,
+        Tier::BegunLate => Duration::ZERO,
         Tier::Deferred => DEFERRED_DUE + left,
-        Tier::BegunLate | Tier::Started | Tier::Late => LATE_DUE,
+        Tier::Started | Tier::Late => LATE_DUE,
     }
 }
 
@@ -222,8 +224,8 @@
 const WAIT_MARGIN: f64 = 1.5;
 
 impl Room {
-    /// Returns the expected time until the job's turn if it cannot come while an answer is of use;
-    /// `None` if it may.
+    /// Returns the time until the work before the job is placed if its turn cannot come while an
+    /// answer is of use; `None` if it may.
     ///
     /// `before` is the work of the jobs that are placed before it.
     pub fn too_late(&self, before: f64, times: Times) -> Option<Duration> {
@@ -233,7 +235,7 @@
         }
         // A late job is placed after all that can be in time, also after what is still to come.
         let left = self.rate - self.asked.min(self.rate);
-        let turn = super::seconds(before.max(self.in_time) / left.max(1.0));
-        (turn > times.useful).then_some(turn)
+        let late_turn = super::seconds(before.max(self.in_time) / left.max(1.0));
+        (late_turn > times.useful).then_some(turn)
     }
 }
--- a/crates/core/src/pool/scheduler/contention.rs
+++ b/crates/core/src/pool/scheduler/contention.rs
@@ -216,7 +216,7 @@
             };
             let latest_start = job.aim.saturating_sub(self.expected_run(job));
             let is_late = now > latest_start;
-            let tier = match (job.is_begun() && now < job.useful_until(), is_late) {
+            let tier = match (job.is_begun(), is_late) {
                 (true, false) => Tier::Begun,
                 (true, true) => Tier::BegunLate,
                 (false, true) => Tier::Late,
