--- a/crates/core/src/pool/overload.rs
+++ b/crates/core/src/pool/overload.rs
@@ -213,28 +213,19 @@
 /// Times of a job that decide on its admission.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
-    /// Time since its arrival.
-    pub waited: Duration,
     /// Time from now to its latest start in time; zero if it is late.
     pub slack: Duration,
     /// Time from now to its latest start of any use.
     pub useful: Duration,
-    /// Time from its arrival to its deadline.
-    pub deadline: Duration,
 }
 
 /// Factor on the expected wait by which it must exceed the slack of a job that is refused before
 /// it is late; the rate of room varies within the time of one wait.
 const WAIT_MARGIN: f64 = 1.5;
-/// Longest expected wait of a job that cannot be in time. Jobs that arrive meanwhile go before it, so
-/// that it waits longer than what is before it takes.
-const MAX_LATE_WAIT: Duration = Duration::from_millis(100);
-/// Share of the time from arrival to deadline after which a job that cannot be in time is refused.
-const LATE_WAIT_SHARE: f64 = 0.20;
 
 impl Room {
-    /// Returns the expected time until the job's turn if it cannot come while an answer is of use;
-    /// `None` if it may.
+    /// Returns the time until the work before the job is placed if its turn cannot come while an
+    /// answer is of use; `None` if it may.
     ///
     /// `before` is the work of the jobs that are placed before it.
     pub fn too_late(&self, before: f64, times: Times) -> Option<Duration> {
@@ -242,7 +233,9 @@
         if !times.slack.is_zero() && turn < super::scaled(times.slack, WAIT_MARGIN) {
             return None;
         }
-        let has_waited_long = times.waited > super::scaled(times.deadline, LATE_WAIT_SHARE);
-        (turn > times.useful.min(MAX_LATE_WAIT) || has_waited_long).then_some(turn)
+        // A late job is placed after all that can be in time, also after what is still to come.
+        let left = self.rate - self.asked.min(self.rate);
+        let late_turn = super::seconds(before.max(self.in_time) / left.max(1.0));
+        (late_turn > times.useful).then_some(turn)
     }
 }
--- a/crates/core/src/pool/scheduler/contention.rs
+++ b/crates/core/src/pool/scheduler/contention.rs
@@ -296,16 +296,19 @@
             return false;
         };
         let (room, tier) = (load.view.room, job.rank.0);
-        let run = self.expected_run(job);
-        let useful_until = job.useful_until().min(job.deadline);
-        let times = Times {
-            waited: now.saturating_sub(job.arrived),
-            slack: job.aim.saturating_sub(now + run),
-            useful: useful_until.saturating_sub(now + run),
-            deadline: job.deadline.saturating_sub(job.arrived),
+        let wait = if load.gate.is_overloaded() {
+            let run = self.expected_run(job);
+            let useful_until = job.useful_until().min(job.deadline);
+            let times = Times {
+                slack: job.aim.saturating_sub(now + run),
+                useful: useful_until.saturating_sub(now + run),
+            };
+            room.too_late(before, times).filter(|_| tier > Tier::InTime)
+        } else {
+            let wait = seconds(before / room.rate.max(1.0));
+            (tier == Tier::Late && job.should_refuse(now, wait)).then_some(wait)
         };
-        let is_deferred = matches!(tier, Tier::Deferred | Tier::Late);
-        let Some(wait) = room.too_late(before, times).filter(|_| is_deferred) else {
+        let Some(wait) = wait else {
             return false;
         };
         if self.has_room_now(now, id) {
