--- a/crates/core/src/pool/job.rs
+++ b/crates/core/src/pool/job.rs
@@ -169,6 +169,13 @@
     pub per_worker: u16,
 }
 
+impl Step {
+    /// Returns the estimated work of one task, in core-milliseconds.
+    pub fn work(&self) -> f64 {
+        self.estimate.as_secs_f64() * f64::from(self.needs.cpu_milli)
+    }
+}
+
 /// A job as it was submitted.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Job {
@@ -199,6 +206,12 @@
         self.id == other.id && self.payload == other.payload && self.steps == other.steps
     }
 
+    /// Returns the estimated work of all tasks, in core-milliseconds.
+    pub fn work(&self) -> f64 {
+        let steps = self.steps.iter();
+        steps.map(|step| step.work() * f64::from(step.count)).sum()
+    }
+
     /// Returns the number of tasks of all steps.
     pub fn tasks(&self) -> usize {
         self.steps.iter().map(|step| usize::from(step.count)).sum()
--- a/crates/core/src/pool/scheduler/peers.rs
+++ b/crates/core/src/pool/scheduler/peers.rs
@@ -24,6 +24,7 @@
     pub fn set_entry_count(&mut self, entries: usize) {
         let interval = KeepAlive::between_entries(entries).ping_every;
         self.owners.set_announce_interval(interval);
+        self.shares.set_entries(entries, interval);
     }
 
     /// Sets the entries that are alive by the member list. The loss of the link to one of them is no
@@ -76,7 +77,7 @@
             Peer::Cancelled { job, known } => {
                 self.on_cancelled(now, entry, (job, known), out);
             }
-            Peer::Load(_) => {}
+            Peer::Load(report) => self.shares.on_report(now, entry, report),
         }
     }
 
