--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -131,37 +131,10 @@
         } => {
             log::info!(job:% = job, request:% = request, reason = reason; "job declined");
         }
-        Note::Placed { job, queue, runs } => {
-            record_placements(queue, runs);
-            log::info!(job:% = job, runs = format_placements(runs); "runs sent");
-        }
-        Note::RunEnded {
-            run,
-            worker,
-            end,
-            evidence,
-            ran_ms,
-        } => {
-            record_run_end(*run, worker, (*end, *evidence), *ran_ms);
-        }
-        Note::RunRefused {
-            run,
-            worker,
-            reason,
-            basis,
-        } => {
-            record_refusal(*run, worker, *reason, *basis);
-        }
-        Note::Moved {
-            run,
-            worker,
-            left_ms,
-            fresh,
-        } => {
-            MOVES.inc();
-            log::info!(run:% = run, worker:% = worker, left_ms:? = left_ms,
-                fresh_ms:? = fresh.map(ms); "run stopped to restart on another worker");
-        }
+        Note::Placed { .. }
+        | Note::RunEnded { .. }
+        | Note::RunRefused { .. }
+        | Note::Moved { .. } => record_run(note),
         Note::Answered {
             job,
             queue,
@@ -210,6 +183,44 @@
     }
 }
 
+/// Records an event of single runs.
+fn record_run(note: &Note) {
+    match note {
+        Note::Placed { job, queue, runs } => {
+            record_placements(queue, runs);
+            log::info!(job:% = job, runs = format_placements(runs); "runs sent");
+        }
+        Note::RunEnded {
+            run,
+            worker,
+            end,
+            evidence,
+            ran_ms,
+        } => {
+            record_run_end(*run, worker, (*end, *evidence), *ran_ms);
+        }
+        Note::RunRefused {
+            run,
+            worker,
+            reason,
+            basis,
+        } => {
+            record_refusal(*run, worker, *reason, *basis);
+        }
+        Note::Moved {
+            run,
+            worker,
+            left_ms,
+            fresh,
+        } => {
+            MOVES.inc();
+            log::info!(run:% = run, worker:% = worker, left_ms:? = left_ms,
+                fresh_ms:? = fresh.map(ms); "run stopped to restart on another worker");
+        }
+        _ => {}
+    }
+}
+
 fn record_placements(queue: &Name, runs: &[Placed]) {
     let waits = WAITS.with_label_values(&[&**queue]);
     for placed in runs {
