Entries and agents bound what clients hold that have proved nothing

Callers that stopped just short of the end of many bodies, sent them in chunks or did not read their responses took the memory of an entry or an agent; links without a proof of the key took its descriptors; a legal body of very many fields took many times its size once parsed.

Requests are read incrementally: a body is held once, chunks are decoded as they come, and bodies on paths that take none are dropped on arrival. The next request of a connection waits until the previous response is read. JSON is checked for depth and for its estimated size before a value is built.

--- a/crates/agent/src/pooled.rs
+++ b/crates/agent/src/pooled.rs
@@ -16,7 +16,10 @@
 use rw_core::pool::msg::{PoolMsg, WorkerInfo};
 use rw_core::pool::subset::{Entries, LinkCount};
 use rw_host::cluster::{Cluster, ClusterEvent};
-use rw_host::net::{Accepts, ConnId, HttpRequest, HttpResponse, Net, NetEvent};
+use rw_host::net::budget::StrangerLimits;
+use rw_host::net::{
+    Accepts, BodyFilter, BodyUse, ConnId, HttpRequest, HttpResponse, Net, NetEvent,
+};
 use rw_host::peers::Peers;
 use rw_host::pooled::{
     METRICS_TAG, PooledDaemon, ReloadableSettings, ThreadEvent, answer_ask, metrics_response, start,
@@ -104,11 +107,13 @@
 ///
 /// Returns an error if a socket or thread cannot be set up or polling fails.
 pub fn run(setup: AgentSetup) -> Result<(), AgentError> {
+    let limits = StrangerLimits::new(&setup.limits, MAX_CONNS);
     let PooledDaemon {
         cluster,
         mut net,
         rx,
-    } = start(&setup.node, Role::Agent, MAX_CONNS).map_err(error_at("start"))?;
+    } = start(&setup.node, Role::Agent, limits).map_err(error_at("start"))?;
+    net.set_body_filter(Box::new(Bodies));
     net.listen(setup.announcements, Accepts::Http(WORKER_TAG))
         .map_err(error_at("listen for announcements of the worker"))?;
     let now = clock::uptime();
@@ -154,6 +159,19 @@
     }
 }
 
+/// Keeps the bodies of announcements only.
+struct Bodies;
+
+impl BodyFilter for Bodies {
+    fn body_use(&self, tag: u8, _head: &HttpRequest) -> BodyUse {
+        if tag == WORKER_TAG {
+            BodyUse::Keep
+        } else {
+            BodyUse::Discard
+        }
+    }
+}
+
 struct Daemon {
     driver: Driver,
     net: Net,
--- a/crates/agent/src/pooled/notes.rs
+++ b/crates/agent/src/pooled/notes.rs
@@ -108,4 +108,5 @@
     set("runs", driver.run_count());
     set("connections", conns);
     set("connections_refused", refused as usize);
+    set("stranger_bytes", net.stranger_bytes());
 }
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -1,6 +1,7 @@
 //! The entry's daemon for pooled jobs: one thread that passes callers' requests and the messages of
 //! agents and other entries to the scheduler and carries out its actions.
 
+mod bodies;
 mod links;
 mod notes;
 
@@ -18,6 +19,7 @@
 use rw_core::pool::scheduler::{Action, Answer, Scheduler};
 use rw_core::pool::{KeepAlive, Uptime};
 use rw_host::cluster::{Cluster, ClusterEvent};
+use rw_host::net::budget::StrangerLimits;
 use rw_host::net::{Accepts, ConnId, HttpLimits, HttpRequest, HttpResponse, Net, NetEvent};
 use rw_host::peers::Peers;
 use rw_host::pooled::{
@@ -27,6 +29,8 @@
 use rw_host::{clock, logging};
 use thiserror::Error;
 
+use bodies::Bodies;
+
 /// Tag of the HTTP listener for callers.
 const CALLERS_TAG: u8 = 0;
 /// Tag of the HTTP listener for readiness checks.
@@ -68,9 +72,11 @@
 }
 
 /// Translates between the scheduler and the HTTP protocol of the callers.
-pub trait CallerProtocol: Send {
+pub trait CallerProtocol: Send + Sync {
     /// Parses a request of a caller.
     fn parse_request(&self, req: &HttpRequest, queues: &QueueTable) -> CallerRequest;
+    /// Returns whether the body of a request with this head is needed.
+    fn takes_body(&self, head: &HttpRequest, queues: &QueueTable) -> bool;
     /// Builds the response for the answer to a job; `None` closes the connection without one.
     fn answer(&self, answer: &Answer) -> Option<HttpResponse>;
     /// Builds the response to [`CallerRequest::Pending`].
@@ -133,11 +139,17 @@
 ///
 /// Returns an error if a socket or thread cannot be set up or polling fails.
 pub fn run(setup: EntrySetup) -> Result<(), EntryError> {
+    let limits = StrangerLimits::new(&setup.limits, MAX_CONNS);
     let PooledDaemon {
         cluster,
         mut net,
         rx,
-    } = start(&setup.node, Role::Entry, MAX_CONNS).map_err(error_at("start"))?;
+    } = start(&setup.node, Role::Entry, limits).map_err(error_at("start"))?;
+    let protocol: Arc<dyn CallerProtocol> = Arc::from(setup.protocol);
+    net.set_body_filter(Box::new(Bodies {
+        protocol: protocol.clone(),
+        queues: None,
+    }));
     net.listen(setup.readiness, Accepts::Http(READINESS_TAG))
         .map_err(error_at("listen for readiness checks"))?;
     let now = clock::uptime();
@@ -147,7 +159,7 @@
         net,
         peers: Peers::default(),
         cluster,
-        protocol: setup.protocol,
+        protocol,
         reload: setup.reload,
         queues: None,
         pending_listen: Some(setup.callers),
@@ -193,10 +205,10 @@
     net: Net,
     peers: Peers,
     cluster: Cluster,
-    protocol: Box<dyn CallerProtocol>,
+    protocol: Arc<dyn CallerProtocol>,
     reload: Box<dyn FnMut() -> Option<ReloadableSettings> + Send>,
     /// Queues of the catalogue in force; `None` before the first catalogue.
-    queues: Option<QueueTable>,
+    queues: Option<Arc<QueueTable>>,
     /// Address for callers, until the entry listens on it. It does so only once a catalogue is in
     /// force, since callers retry when they cannot connect but take a refusal as final.
     pending_listen: Option<SocketAddr>,
@@ -262,7 +274,12 @@
         }
         log::info!(version = catalog.version, queues = catalog.queues.len(); "catalogue in force");
         self.catalog_version = catalog.version;
-        self.queues = Some(QueueTable::new(catalog));
+        let queues = Arc::new(QueueTable::new(catalog));
+        self.net.set_body_filter(Box::new(Bodies {
+            protocol: self.protocol.clone(),
+            queues: Some(queues.clone()),
+        }));
+        self.queues = Some(queues);
         self.net.set_limits(http_limits(&catalog.limits));
     }
 
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -205,4 +205,5 @@
     set("ejected_workers", scheduler.fleet().ejected());
     set("connections", conns);
     set("connections_refused", refused as usize);
+    set("stranger_bytes", net.stranger_bytes());
 }
--- a/crates/host/src/http.rs
+++ b/crates/host/src/http.rs
@@ -10,10 +10,14 @@
 use serde::de::DeserializeOwned;
 
 use crate::cluster::Cluster;
+use crate::json::{self, JsonLimits};
 use crate::metrics;
 
 pub use server::{PendingRequests, serve};
 
+/// Maximum estimated size of a parsed body, in bytes.
+const MAX_PARSED_BYTES: usize = 64 * 1024 * 1024;
+
 /// Answers the endpoints that all daemons serve (`/healthz`, `/readyz`, `/v1/inforce`, `/metrics`);
 /// `None` for any other request. `/readyz` answers 200 if `ready`, else 503.
 pub fn common_endpoints(req: &Request, ready: bool, cluster: &Cluster) -> Option<Response> {
@@ -108,7 +112,7 @@
     T: DeserializeOwned,
 {
     let buf = read_body(req, max)?;
-    serde_json::from_slice(&buf)
+    json::from_slice(&buf, &JsonLimits::document(MAX_PARSED_BYTES))
         .map_err(|e| problem("malformed", 400, &e.to_string(), Some("not-run")))
 }
 
--- a/crates/host/src/http/server.rs
+++ b/crates/host/src/http/server.rs
@@ -14,7 +14,10 @@
 use rouille::{Request, Response};
 
 use super::problem;
-use crate::net::{HttpLimits, HttpRequest, HttpResponse, Parsed, parse_request, response_bytes};
+use crate::net::{
+    BodyUse, CONTINUE, HttpLimits, HttpRequest, HttpResponse, Progress, RequestReader,
+    response_bytes,
+};
 use crate::panics::CONNECTION_THREAD;
 
 /// Maximum body size in bytes that the server accepts; handlers apply smaller limits.
@@ -30,7 +33,6 @@
 const READ_BYTES: usize = 16 * 1024;
 /// Stack size of a connection's thread. Handlers parse JSON and wait, so a small stack suffices.
 const STACK_BYTES: usize = 512 * 1024;
-const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// A count of the requests whose responses are not yet written in full. Clones share the count.
 #[derive(Clone, Debug, Default)]
@@ -63,7 +65,7 @@
     }
 }
 
-type Handler = dyn Fn(&Request) -> Response + Send + Sync;
+pub(super) type Handler = dyn Fn(&Request) -> Response + Send + Sync;
 
 /// Binds `addr` and serves HTTP with one thread for each connection. While `max_conns` connections
 /// are open, further ones are answered with 503. Returns the count of pending responses.
@@ -164,20 +166,20 @@
         };
         let mut started_at = (!input.is_empty()).then(Instant::now);
         let mut sent_continue = false;
+        let mut reader = RequestReader::default();
         let mut buf = [0; READ_BYTES];
         loop {
-            if !input.is_empty() {
-                match parse_request(input, &limits) {
-                    Parsed::Complete(req, consumed, close) => {
-                        input.drain(..consumed);
+            if !input.is_empty() || reader.is_midway() {
+                match reader.read(input, &limits, |_| BodyUse::Keep) {
+                    Progress::Complete(req, close) => {
                         return Ok(Some(Received::Request(req, close)));
                     }
-                    Parsed::Invalid(status, reason) => {
+                    Progress::Invalid(status, reason) => {
                         return Ok(Some(Received::Invalid(status, reason)));
                     }
-                    Parsed::Incomplete => {}
+                    Progress::Incomplete => {}
                 }
-                if !sent_continue && expects_continue(input) {
+                if !sent_continue && reader.head().is_some_and(HttpRequest::expects_continue) {
                     sent_continue = true;
                     stream.write_all(CONTINUE)?;
                 }
@@ -197,7 +199,12 @@
                 Ok(0) => return Ok(None),
                 Ok(len) => {
                     started_at.get_or_insert_with(Instant::now);
-                    input.extend_from_slice(&buf[..len]);
+                    let direct = if input.is_empty() {
+                        reader.take_body(&buf[..len])
+                    } else {
+                        0
+                    };
+                    input.extend_from_slice(&buf[direct..len]);
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
@@ -214,28 +221,24 @@
     Invalid(u16, &'static str),
 }
 
-/// Returns whether the caller waits for `100 Continue` before it sends the body.
-fn expects_continue(input: &[u8]) -> bool {
-    let Some(end) = input.windows(4).position(|w| w == b"\r\n\r\n") else {
-        return false;
-    };
-    let head = String::from_utf8_lossy(&input[..end]).to_ascii_lowercase();
-    head.contains("expect: 100-continue")
+fn write(stream: &mut TcpStream, response: Response, close: bool) -> io::Result<()> {
+    let response = to_http(response)?;
+    let mut buf = Vec::with_capacity(256 + response.body.len());
+    response_bytes(&response, close, &mut buf);
+    stream.write_all(&buf)
 }
 
-fn write(stream: &mut TcpStream, response: Response, close: bool) -> io::Result<()> {
-    let (mut reader, _) = response.data.into_reader_and_size();
-    let mut body = Vec::new();
+/// Reads the body of a response.
+pub(super) fn to_http(response: Response) -> io::Result<HttpResponse> {
+    let (mut reader, size) = response.data.into_reader_and_size();
+    let mut body = Vec::with_capacity(size.unwrap_or_default());
     reader.read_to_end(&mut body)?;
     let headers = response.headers.into_iter();
-    let response = HttpResponse {
+    Ok(HttpResponse {
         status: response.status_code,
         headers: headers
             .map(|(name, value)| (name.into_owned(), value.into_owned()))
             .collect(),
         body,
-    };
-    let mut buf = Vec::with_capacity(256 + response.body.len());
-    response_bytes(&response, close, &mut buf);
-    stream.write_all(&buf)
+    })
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod daemon;
 pub mod dial;
 pub mod http;
+pub mod json;
 pub mod link;
 pub mod logging;
 pub mod metrics;
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -47,6 +47,15 @@
 pub static HELD: LazyLock<IntGaugeVec> =
     LazyLock::new(|| gauges("rw_held", "Objects held in memory", &["what"]));
 
+/// Connections of strangers that were refused or closed, by door and cause.
+pub static STRANGERS_CLOSED: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    counters(
+        "rw_strangers_closed_total",
+        "Connections of strangers refused or closed, by door and cause",
+        &["door", "cause"],
+    )
+});
+
 /// Runs that ended without a result of the worker, by what the end was concluded from.
 pub static RUNS_GONE: LazyLock<IntCounterVec> = LazyLock::new(|| {
     counters(
--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -4,9 +4,12 @@
 //! On a machine with a small share of a core, wake-ups and threads are expensive, so an idle
 //! connection costs only its buffers. Input is delivered as [`NetEvent`]s.
 
+pub mod budget;
 mod conn;
 mod http;
 mod link;
+mod reader;
+mod strangers;
 
 use std::io;
 use std::net::SocketAddr;
@@ -20,10 +23,16 @@
 use rw_core::msg::{Hello, Msg};
 use rw_core::pool::{KeepAlive, Uptime};
 
+use crate::settings::MachineLimits;
+
+pub(crate) use http::{CONTINUE, response_bytes};
 pub use http::{HttpLimits, HttpRequest, HttpResponse, request_bytes};
-pub(crate) use http::{Parsed, parse_request, response_bytes};
+pub use reader::BodyUse;
+pub(crate) use reader::{Progress, RequestReader};
 
-use conn::{Conn, ConnKind};
+use budget::StrangerLimits;
+use conn::{Conn, ConnKind, ParseContext};
+use strangers::Strangers;
 
 /// Maximum number of ready sockets that one poll reports; the next one reports the others.
 const MAX_READY_SOCKETS: usize = 256;
@@ -44,6 +53,12 @@
     Links,
 }
 
+/// Decides from the head of a request whether its body is kept.
+pub trait BodyFilter: Send {
+    /// Returns what is done with the body of a request to the listener with this tag.
+    fn body_use(&self, tag: u8, head: &HttpRequest) -> BodyUse;
+}
+
 /// An event on a socket.
 #[derive(Debug)]
 pub enum NetEvent {
@@ -98,8 +113,8 @@
     limits: HttpLimits,
     /// Connections to write to and to parse input of at the next poll; may contain duplicates.
     dirty: Vec<ConnId>,
-    max_conns: usize,
-    refused: u64,
+    strangers: Strangers,
+    filter: Option<Box<dyn BodyFilter>>,
 }
 
 impl std::fmt::Debug for Net {
@@ -124,8 +139,8 @@
             hello,
             limits: HttpLimits::default(),
             dirty: Vec::new(),
-            max_conns,
-            refused: 0,
+            strangers: Strangers::new(StrangerLimits::new(&MachineLimits::default(), max_conns)),
+            filter: None,
         };
         Ok((net, waker))
     }
@@ -135,9 +150,24 @@
         self.limits = limits;
     }
 
-    /// Returns the number of open connections, and of those refused so far because of `max_conns`.
+    /// Sets the limits on what strangers hold.
+    pub fn set_stranger_limits(&mut self, limits: StrangerLimits) {
+        self.strangers.limits = limits;
+    }
+
+    /// Sets what decides whether bodies are kept. Without it, all are.
+    pub fn set_body_filter(&mut self, filter: Box<dyn BodyFilter>) {
+        self.filter = Some(filter);
+    }
+
+    /// Returns the number of open connections, and of those refused so far for lack of room.
     pub fn counts(&self) -> (usize, u64) {
-        (self.conns.len(), self.refused)
+        (self.conns.len(), self.strangers.refused)
+    }
+
+    /// Returns the number of bytes that strangers hold.
+    pub fn stranger_bytes(&self) -> usize {
+        self.strangers.bytes
     }
 
     /// Binds an address and accepts connections on it.
@@ -223,6 +253,7 @@
     /// Closes a connection without sending its queued output. No event follows.
     pub fn close(&mut self, id: ConnId) {
         if let Some(mut conn) = self.conns.swap_remove(&id) {
+            self.strangers.release(&conn);
             let _ = self.poll.registry().deregister(&mut conn.stream);
         }
     }
@@ -266,8 +297,9 @@
 
     /// Writes queued output, waits for sockets for at most `timeout`, and appends events to `out`.
     pub fn poll(&mut self, timeout: Duration, out: &mut Vec<NetEvent>) -> io::Result<()> {
+        self.strangers.delivered = 0;
         self.flush(out);
-        let timeout = if out.is_empty() {
+        let timeout = if out.is_empty() && self.dirty.is_empty() {
             timeout
         } else {
             Duration::ZERO
@@ -284,7 +316,7 @@
             if token == WAKER_TOKEN.0 {
                 out.push(NetEvent::Woken);
             } else if self.listeners.contains_key(&token) {
-                self.accept(now, token);
+                self.accept(now, token, out);
             } else {
                 self.on_ready(now, &ready, out);
             }
@@ -292,7 +324,7 @@
         Ok(())
     }
 
-    fn accept(&mut self, now: Uptime, token: usize) {
+    fn accept(&mut self, now: Uptime, token: usize, out: &mut Vec<NetEvent>) {
         loop {
             let Some((listener, accepts)) = self.listeners.get(&token) else {
                 return;
@@ -306,8 +338,7 @@
                     return;
                 }
             };
-            if self.conns.len() >= self.max_conns {
-                self.refused += 1;
+            if !self.make_room_for_conn(now, out) {
                 continue;
             }
             let id = self.allocate_token();
@@ -332,38 +363,85 @@
             conn.opened = conn.stream.peer_addr().is_ok();
         }
         let mut open = true;
+        let mut read = false;
         if ready.readable {
-            open = conn.read(now, ready.half_closed);
-            if open || !conn.drop_request() {
-                conn.parse_input(now, id, &self.key, &self.hello, &self.limits, out);
+            if self.strangers.has_delivered_enough() && !ready.half_closed && conn.is_stranger() {
+                conn.unread = true;
+            } else {
+                open = conn.read(now, ready.half_closed, &self.limits);
+                read = open || !conn.drop_request();
             }
         }
+        if read {
+            self.parse(now, id, out);
+        }
+        let Some(conn) = self.conns.get_mut(&id) else {
+            return;
+        };
         if conn.broken {
             open = false;
         }
         if open && (writable || conn.has_output()) {
-            open = conn.write();
+            open = conn.write(now);
         }
         if !open || conn.broken {
             self.finish(id, out);
+        } else if conn.can_go_on(&self.limits) {
+            self.dirty.push(id);
+        }
+    }
+
+    /// Parses the input of a connection and settles what it holds.
+    fn parse(&mut self, now: Uptime, id: ConnId, out: &mut Vec<NetEvent>) {
+        let Some(conn) = self.conns.get_mut(&id) else {
+            return;
+        };
+        let events = out.len();
+        let cx = ParseContext {
+            key: &self.key,
+            hello: &self.hello,
+            limits: &self.limits,
+            filter: self.filter.as_deref(),
+        };
+        conn.parse_input(now, id, &cx, out);
+        for event in &out[events..] {
+            if let NetEvent::Request(_, _, req) = event {
+                self.strangers.delivered += req.held_bytes();
+            }
         }
+        self.settle(now, id, out);
     }
 
-    /// Writes queued output, then parses input that waited for the previous response.
+    /// Writes queued output, then reads and parses input that waited for the previous response or
+    /// for other connections.
     fn flush(&mut self, out: &mut Vec<NetEvent>) {
         let now = crate::clock::uptime();
         let mut dirty = std::mem::take(&mut self.dirty);
         dirty.sort_unstable();
         dirty.dedup();
         for id in dirty {
+            let waits = self.strangers.has_delivered_enough();
             let Some(conn) = self.conns.get_mut(&id) else {
                 continue;
             };
             conn.begin_handshake(&self.key);
-            let mut open = conn.write();
+            let mut open = conn.write(now);
+            if open && waits && conn.is_stranger() {
+                self.dirty.push(id);
+                continue;
+            }
+            if open && conn.unread && !conn.is_full(&self.limits) {
+                open = conn.read(now, false, &self.limits);
+            }
             if open {
-                conn.parse_input(now, id, &self.key, &self.hello, &self.limits, out);
+                self.parse(now, id, out);
+                let Some(conn) = self.conns.get(&id) else {
+                    continue;
+                };
                 open = !conn.broken;
+                if open && conn.can_go_on(&self.limits) {
+                    self.dirty.push(id);
+                }
             }
             if !open {
                 self.finish(id, out);
@@ -375,6 +453,7 @@
         let Some(mut conn) = self.conns.swap_remove(&id) else {
             return;
         };
+        self.strangers.release(&conn);
         let _ = self.poll.registry().deregister(&mut conn.stream);
         match conn.kind {
             ConnKind::Http(_) => out.push(NetEvent::CallerDisconnected(id)),
@@ -395,7 +474,11 @@
             }
         }
         for id in overdue {
+            if let Some(conn) = self.conns.get(&id) {
+                self.strangers.count(conn, "time");
+            }
             self.finish(id, out);
         }
+        self.strangers.report(now);
     }
 }
--- a/crates/host/src/net/conn.rs
+++ b/crates/host/src/net/conn.rs
@@ -9,11 +9,13 @@
 use rw_core::msg::{Hello, Msg};
 use rw_core::pool::{KeepAlive, Uptime};
 
+use super::budget::{self, Holding, Standing};
 use super::http::{
-    HttpLimits, HttpResponse, Parsed, parse_request, parse_response, response_bytes,
+    CONTINUE, HttpLimits, HttpRequest, HttpResponse, Parsed, parse_response, response_bytes,
 };
 use super::link::{Input, LinkInput, LinkSession, LinkState};
-use super::{ConnId, NetEvent};
+use super::reader::{BodyUse, Progress, RequestReader};
+use super::{BodyFilter, ConnId, NetEvent};
 use crate::metrics;
 
 /// Size of the buffer of one read, in bytes.
@@ -21,8 +23,13 @@
 /// Output in bytes that is queued for a peer, beyond which the connection is closed if there is more
 /// to send. A single longer message is not cut off.
 const MAX_OUTPUT_BYTES: usize = 8 * 1024 * 1024;
-/// Input in bytes, beyond which reading pauses while a request of the connection is in progress.
-const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+/// Input in bytes that is read before a request is parsed or ahead of its response, beyond which
+/// reading pauses. Heads may be longer where the limits permit it.
+const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+/// Bytes that are read from a connection before others get their turn.
+const MAX_TURN_BYTES: usize = 256 * 1024;
+/// Time limit for a peer to prove that it has the cluster's key.
+const PROOF_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time limit for establishing an outgoing connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Length in bytes to which the start line of a dropped request is cut in the log.
@@ -41,6 +48,14 @@
     Link,
 }
 
+/// What the parsing of input depends on beside the connection.
+pub(super) struct ParseContext<'a> {
+    pub(super) key: &'a ClusterKey,
+    pub(super) hello: &'a Hello,
+    pub(super) limits: &'a HttpLimits,
+    pub(super) filter: Option<&'a dyn BodyFilter>,
+}
+
 #[expect(
     clippy::struct_excessive_bools,
     reason = "independent facts of one connection"
@@ -52,11 +67,24 @@
     pub(super) opened: bool,
     /// Whether the connection has failed and is to be ended.
     pub(super) broken: bool,
-    peer: SocketAddr,
+    pub(super) peer: SocketAddr,
     input: Vec<u8>,
+    /// The socket may have input, since reading paused before it was empty.
+    pub(super) unread: bool,
+    reader: RequestReader,
     output: Vec<u8>,
     /// Number of bytes of `output` that have been written.
     written: usize,
+    /// When the oldest byte of `output` was queued, and the bytes written since.
+    output_since: Option<(Uptime, u64)>,
+    /// The caller of the present request was told to send its body.
+    sent_continue: bool,
+    /// Input is left that was not parsed because a response was not read.
+    has_next: bool,
+    /// Bytes that the budget of strangers has counted for this connection.
+    pub(super) charged: usize,
+    /// Whether a complete request was received.
+    was_served: bool,
     /// A request was delivered and its response is not queued yet; the next request waits.
     serving: bool,
     /// Set once the connection is to be closed after the output is written; the time of the last
@@ -69,6 +97,9 @@
     created_at: Uptime,
     /// When the first byte of the incomplete request arrived.
     request_started: Option<Uptime>,
+    /// Bytes received since `request_started`.
+    request_bytes: u64,
+    last_written: Uptime,
     last_received: Uptime,
     /// When the last message was queued on a link.
     last_sent: Uptime,
@@ -86,14 +117,23 @@
             broken: false,
             peer,
             input: Vec::new(),
+            unread: false,
+            reader: RequestReader::default(),
             output: Vec::new(),
             written: 0,
+            output_since: None,
+            sent_continue: false,
+            has_next: false,
+            charged: 0,
+            was_served: false,
             serving: false,
             closing_since: None,
             last_request: false,
             peer_closed: false,
             created_at: now,
             request_started: None,
+            request_bytes: 0,
+            last_written: now,
             last_received: now,
             last_sent: now,
             keep_alive: KeepAlive::AGENT,
@@ -173,20 +213,93 @@
     }
 
     pub(super) fn is_idle_http(&self) -> bool {
-        matches!(self.kind, ConnKind::Http(_)) && !self.is_serving() && self.input.is_empty()
+        matches!(self.kind, ConnKind::Http(_)) && !self.is_serving() && !self.is_midway()
+    }
+
+    /// Returns whether a part of a request has been received.
+    fn is_midway(&self) -> bool {
+        !self.input.is_empty() || self.reader.is_midway()
+    }
+
+    /// Returns whether the peer has proved nothing: a caller, or a link without a proof of the key.
+    pub(super) fn is_stranger(&self) -> bool {
+        match self.kind {
+            ConnKind::Http(_) => true,
+            ConnKind::Calls => false,
+            ConnKind::Link => self
+                .link
+                .as_ref()
+                .is_some_and(|link| !link.is_client && !link.is_up()),
+        }
+    }
+
+    /// Returns the memory in bytes that the connection's buffers take.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.input.capacity() + self.output.capacity() + self.reader.held_bytes()
+    }
+
+    /// Returns what the connection holds and does, for the budget of strangers.
+    pub(super) fn holding(&self, id: ConnId) -> Holding {
+        let standing = if self.serving {
+            Standing::InProgress
+        } else if self.has_output() && self.link.is_none() {
+            Standing::Unread
+        } else if self.was_served && !self.is_midway() {
+            Standing::Idle
+        } else {
+            Standing::Incomplete
+        };
+        Holding {
+            id,
+            bytes: self.held_bytes(),
+            standing,
+            active_at: self.last_received.max(self.last_written),
+        }
+    }
+
+    /// Tells a caller whose request has begun that it is not run, as far as the socket takes it.
+    pub(super) fn refuse_for_lack_of_room(&mut self) {
+        if self.reader.head().is_none() || self.has_output() {
+            return;
+        }
+        self.last_request = true;
+        let body = br#"{"error":"too many requests at once; not run"}"#.to_vec();
+        let mut response = HttpResponse::with_body(503, "application/json", body);
+        response.headers.push(("Retry-After".into(), "1".into()));
+        self.respond(&response);
+        self.write(self.last_received);
+    }
+
+    /// Returns whether there is input to read or to parse, and nothing that it waits for.
+    pub(super) fn can_go_on(&self, limits: &HttpLimits) -> bool {
+        let is_waiting = matches!(self.kind, ConnKind::Http(_)) && self.is_serving();
+        !is_waiting && (self.unread && !self.is_full(limits) || self.has_next)
+    }
+
+    /// Returns whether the connection holds as much input as it may before its next step.
+    pub(super) fn is_full(&self, limits: &HttpLimits) -> bool {
+        let max = match self.kind {
+            ConnKind::Http(_) => MAX_READ_AHEAD_BYTES.max(limits.head_bytes),
+            ConnKind::Link if self.is_stranger() => MAX_READ_AHEAD_BYTES,
+            ConnKind::Link | ConnKind::Calls => usize::MAX,
+        };
+        self.input.len() > max || self.closing_since.is_some()
     }
 
     pub(super) fn is_serving(&self) -> bool {
         self.serving || self.has_output()
     }
 
-    /// Reads the available input. Returns `false` when the connection has ended. A read that does
-    /// not fill the buffer has emptied the socket, and later input raises a new event, unless the
-    /// peer has closed its sending half.
-    pub(super) fn read(&mut self, now: Uptime, half_closed: bool) -> bool {
+    /// Reads the available input, as far as the connection may hold it. Returns `false` when the
+    /// connection has ended. A read that does not fill the buffer has emptied the socket, and later
+    /// input raises a new event, unless the peer has closed its sending half.
+    pub(super) fn read(&mut self, now: Uptime, half_closed: bool, limits: &HttpLimits) -> bool {
         let mut buf = [0; READ_BYTES];
+        let mut turn = 0;
+        self.unread = false;
         loop {
-            if self.serving && self.input.len() > MAX_PIPELINED_BYTES {
+            if self.is_full(limits) || turn >= MAX_TURN_BYTES {
+                self.unread = true;
                 return true;
             }
             match self.stream.read(&mut buf) {
@@ -197,12 +310,12 @@
                     return false;
                 }
                 Ok(len) => {
-                    self.opened = true;
-                    self.last_received = now;
-                    if self.request_started.is_none() && !self.serving {
-                        self.request_started = Some(now);
+                    turn += len;
+                    self.receive(now, &buf[..len]);
+                    if half_closed && matches!(self.kind, ConnKind::Http(_)) {
+                        self.peer_closed = true;
+                        return false;
                     }
-                    self.input.extend_from_slice(&buf[..len]);
                     if len < READ_BYTES && !half_closed {
                         return true;
                     }
@@ -217,30 +330,58 @@
         }
     }
 
+    fn receive(&mut self, now: Uptime, bytes: &[u8]) {
+        self.opened = true;
+        self.last_received = now;
+        if self.request_started.is_none() && !self.serving {
+            self.request_started = Some(now);
+            self.request_bytes = 0;
+        }
+        self.request_bytes += bytes.len() as u64;
+        let direct = if self.input.is_empty() && !self.serving {
+            self.reader.take_body(bytes)
+        } else {
+            0
+        };
+        self.input.extend_from_slice(&bytes[direct..]);
+    }
+
     /// Drops the input of a caller that has disconnected, so that no request is started for it: the
     /// caller may have sent it elsewhere already. Returns `false` on other connections.
     pub(super) fn drop_request(&mut self) -> bool {
         if !matches!(self.kind, ConnKind::Http(_)) {
             return false;
         }
-        if !self.serving && !self.input.is_empty() {
-            let line = self.input.split(|b| *b == b'\r').next().unwrap_or_default();
+        if !self.serving && self.is_midway() {
+            let line = match self.reader.head() {
+                Some(req) => format!("{} {}", req.method, req.path).into_bytes(),
+                None => self.input.clone(),
+            };
+            let line = line.split(|b| *b == b'\r').next().unwrap_or_default();
             let line = String::from_utf8_lossy(&line[..line.len().min(MAX_LOGGED_LINE_BYTES)]);
-            log::info!(peer:% = self.peer, bytes = self.input.len(), line:% = line;
+            log::info!(peer:% = self.peer, bytes = self.request_bytes, line:% = line;
                 "request dropped: the caller has disconnected");
             self.input.clear();
+            self.reader.clear();
         }
         true
     }
 
     /// Writes as much output as the socket takes. Returns `false` when the connection has ended.
-    pub(super) fn write(&mut self) -> bool {
+    pub(super) fn write(&mut self, now: Uptime) -> bool {
+        if self.has_output() {
+            self.output_since.get_or_insert((now, 0));
+        }
         while self.has_output() {
             match self.stream.write(&self.output[self.written..]) {
                 Ok(0) => return false,
                 Ok(len) => {
                     self.opened = true;
                     self.written += len;
+                    self.last_written = now;
+                    if let Some((_, written)) = &mut self.output_since {
+                        *written += len as u64;
+                    }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
                 Err(e) if e.kind() == io::ErrorKind::NotConnected => return true,
@@ -253,6 +394,7 @@
         }
         self.output.clear();
         self.written = 0;
+        self.output_since = None;
         if self.output.capacity() > MAX_RETAINED_BYTES {
             self.output = Vec::new();
         }
@@ -268,15 +410,13 @@
         &mut self,
         now: Uptime,
         id: ConnId,
-        key: &ClusterKey,
-        hello: &Hello,
-        limits: &HttpLimits,
+        cx: &ParseContext<'_>,
         out: &mut Vec<NetEvent>,
     ) {
         match self.kind {
-            ConnKind::Http(tag) => self.read_request(now, id, tag, limits, out),
-            ConnKind::Calls => self.read_responses(id, limits, out),
-            ConnKind::Link => self.read_messages(id, key, hello, out),
+            ConnKind::Http(tag) => self.read_request(now, id, tag, cx, out),
+            ConnKind::Calls => self.read_responses(id, cx.limits, out),
+            ConnKind::Link => self.read_messages(id, cx.key, cx.hello, out),
         }
         if self.input.is_empty() && self.input.capacity() > MAX_RETAINED_BYTES {
             self.input = Vec::new();
@@ -288,27 +428,41 @@
         now: Uptime,
         id: ConnId,
         tag: u8,
-        limits: &HttpLimits,
+        cx: &ParseContext<'_>,
         out: &mut Vec<NetEvent>,
     ) {
-        if self.serving || self.closing_since.is_some() || self.input.is_empty() {
+        // The next request waits until the previous response is read, so that responses do not pile
+        // up for a caller that reads none.
+        self.has_next = self.is_serving() && self.is_midway();
+        if self.is_serving() || self.closing_since.is_some() || !self.is_midway() {
             return;
         }
-        match parse_request(&self.input, limits) {
-            Parsed::Incomplete => {
+        let body_use = |req: &_| match cx.filter {
+            Some(filter) => filter.body_use(tag, req),
+            None => BodyUse::Keep,
+        };
+        match self.reader.read(&mut self.input, cx.limits, body_use) {
+            Progress::Incomplete => {
                 self.request_started.get_or_insert(now);
+                let expects = |req: &HttpRequest| req.expects_continue();
+                if !self.sent_continue && self.reader.head().is_some_and(expects) {
+                    self.sent_continue = true;
+                    self.output.extend_from_slice(CONTINUE);
+                }
             }
-            Parsed::Complete(request, consumed, close) => {
-                self.input.drain(..consumed);
+            Progress::Complete(request, close) => {
                 self.serving = true;
+                self.sent_continue = false;
+                self.was_served = true;
                 self.request_started = None;
                 self.last_request |= close;
                 out.push(NetEvent::Request(id, tag, request));
             }
-            Parsed::Invalid(status, reason) => {
+            Progress::Invalid(status, reason) => {
                 log::info!(peer:% = self.peer, status = status, reason = reason; "request refused");
                 self.last_request = true;
                 self.input.clear();
+                self.reader.clear();
                 let body = format!("{{\"error\":\"{reason}\"}}").into_bytes();
                 self.respond(&HttpResponse::with_body(status, "application/json", body));
             }
@@ -371,12 +525,21 @@
             return now >= since.max(self.last_received) + linger;
         }
         match self.kind {
-            ConnKind::Http(_) if self.is_serving() => false,
+            ConnKind::Http(_) if self.serving => false,
+            ConnKind::Http(_) if self.has_output() => {
+                self.output_since.is_some_and(|(since, written)| {
+                    budget::is_too_slow(written, now.saturating_sub(since))
+                })
+            }
             ConnKind::Http(_) => match self.request_started {
-                Some(started) => now >= started + limits.request_time,
+                Some(started) => {
+                    now >= started + limits.request_time
+                        || budget::is_too_slow(self.request_bytes, now.saturating_sub(started))
+                }
                 None => now >= self.last_received + limits.idle_time,
             },
             ConnKind::Calls => false,
+            ConnKind::Link if self.is_stranger() && now >= self.created_at + PROOF_TIMEOUT => true,
             ConnKind::Link => now >= self.last_received + self.keep_alive.silence_timeout,
         }
     }
--- a/crates/host/src/net/http.rs
+++ b/crates/host/src/net/http.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 /// Maximum number of headers of a message.
-const MAX_HEADERS: usize = 64;
+pub(super) const MAX_HEADERS: usize = 64;
+
+/// The response that asks a caller to send the body of its request.
+pub(crate) const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Limits for HTTP messages and for callers' connections.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,6 +53,20 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         find_header(&self.headers, name)
     }
+
+    /// Returns whether the caller waits for [`CONTINUE`] before it sends the body.
+    pub(crate) fn expects_continue(&self) -> bool {
+        self.header("expect")
+            .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"))
+    }
+
+    /// Returns the memory in bytes that the request takes.
+    pub(crate) fn held_bytes(&self) -> usize {
+        let texts = |(name, value): &(String, String)| name.capacity() + value.capacity();
+        let headers = self.headers.capacity() * size_of::<(String, String)>();
+        let texts: usize = self.headers.iter().map(texts).sum();
+        self.body.capacity() + self.path.capacity() + headers + texts
+    }
 }
 
 /// An HTTP response.
@@ -95,7 +112,7 @@
 }
 
 /// The result of parsing the start of a buffer.
-pub(crate) enum Parsed<T> {
+pub(super) enum Parsed<T> {
     /// The message is not complete yet.
     Incomplete,
     /// A message, its end in the buffer, and whether the connection closes after it.
@@ -104,36 +121,6 @@
     Invalid(u16, &'static str),
 }
 
-/// Parses a request at the start of `buf`.
-pub(crate) fn parse_request(buf: &[u8], limits: &HttpLimits) -> Parsed<HttpRequest> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut req = httparse::Request::new(&mut headers);
-    let head = match req.parse(buf) {
-        Ok(httparse::Status::Complete(head)) if head <= limits.head_bytes => head,
-        Ok(httparse::Status::Partial) if buf.len() <= limits.head_bytes => {
-            return Parsed::Incomplete;
-        }
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => {
-            return Parsed::Invalid(431, "the head is too long");
-        }
-        Err(_) => return Parsed::Invalid(400, "the head cannot be read"),
-    };
-    let headers = owned_headers(req.headers);
-    let (body, end) = match parse_body(buf, head, &headers, limits.body_bytes) {
-        Parsed::Complete(body, end, _) => (body, end),
-        Parsed::Incomplete => return Parsed::Incomplete,
-        Parsed::Invalid(status, reason) => return Parsed::Invalid(status, reason),
-    };
-    let close = closes_connection(&headers, req.version);
-    let request = HttpRequest {
-        method: req.method.unwrap_or_default().into(),
-        path: req.path.unwrap_or_default().into(),
-        headers,
-        body,
-    };
-    Parsed::Complete(request, end, close)
-}
-
 /// Parses a response at the start of `buf`. Only the body limit applies.
 pub(super) fn parse_response(buf: &[u8], limits: &HttpLimits) -> Parsed<HttpResponse> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -158,7 +145,7 @@
     Parsed::Complete(response, end, close)
 }
 
-fn owned_headers(headers: &[httparse::Header<'_>]) -> Vec<(String, String)> {
+pub(super) fn owned_headers(headers: &[httparse::Header<'_>]) -> Vec<(String, String)> {
     let text = |header: &httparse::Header<'_>| {
         let value = String::from_utf8_lossy(header.value).into_owned();
         (header.name.to_ascii_lowercase(), value)
@@ -166,7 +153,7 @@
     headers.iter().map(text).collect()
 }
 
-fn closes_connection(headers: &[(String, String)], version: Option<u8>) -> bool {
+pub(super) fn closes_connection(headers: &[(String, String)], version: Option<u8>) -> bool {
     match find_header(headers, "connection") {
         Some(value) if value.eq_ignore_ascii_case("close") => true,
         Some(value) if value.eq_ignore_ascii_case("keep-alive") => false,
--- a/crates/host/src/pooled.rs
+++ b/crates/host/src/pooled.rs
@@ -15,6 +15,7 @@
 use crate::clock;
 use crate::cluster::{Cluster, ClusterEvent, ClusterSetup};
 use crate::link::spawn;
+use crate::net::budget::StrangerLimits;
 use crate::net::{Accepts, HttpResponse, Net};
 use crate::settings::NodeSettings;
 use crate::{logging, metrics};
@@ -53,9 +54,9 @@
     pub rx: Receiver<ThreadEvent>,
 }
 
-/// Starts membership and signal handling, and sets up the event loop with at most `max_conns`
-/// connections. Fails if a socket cannot be bound or the signal handler cannot be set up.
-pub fn start(node: &NodeSettings, role: Role, max_conns: usize) -> io::Result<PooledDaemon> {
+/// Starts membership and signal handling, and sets up the event loop with these limits on strangers.
+/// Fails if a socket cannot be bound or the signal handler cannot be set up.
+pub fn start(node: &NodeSettings, role: Role, limits: StrangerLimits) -> io::Result<PooledDaemon> {
     let key = ClusterKey::new(&node.cluster_secret);
     let (tx, rx) = flume::bounded(EVENT_CAPACITY);
     let gossip = UdpSocket::bind(node.gossip)?;
@@ -71,7 +72,8 @@
         fetches_config: true,
         sink,
     };
-    let (mut net, wake) = Net::new(key.clone(), setup.hello(), max_conns)?;
+    let (mut net, wake) = Net::new(key.clone(), setup.hello(), limits.all_conns)?;
+    net.set_stranger_limits(limits);
     let _ = waker.set(wake.clone());
     net.listen(node.link, Accepts::Links)?;
     net.listen(node.http, Accepts::Http(METRICS_TAG))?;
