Control nodes bound what their doors hold

The operators' port and the node's own interface had a thread for each connection, each with bodies of up to 16 MiB; the operators' parsed documents were not bounded, and links without a proof of the key took all descriptors.

Both ports of a control node for pooled jobs now share one event loop with the same budget as entries and agents; a thread is started only for a complete request, and requests that would take more than the budget while handled are answered 503 (not run). A document is parsed one at a time, within a quarter of the process's memory. Links that have not proved the key are bounded to a quarter of the descriptors; one that takes over half a second makes room for another. A link shares one descriptor among its reader and writer, not three.

--- a/crates/control/src/event_loop/start.rs
+++ b/crates/control/src/event_loop/start.rs
@@ -14,7 +14,7 @@
 use rw_host::cluster::Cluster;
 use rw_host::daemon::{self, Daemon, DaemonOptions};
 use rw_host::dial::Dialer;
-use rw_host::link::{Linker, spawn};
+use rw_host::link::{Linker, MAX_LINKS, spawn};
 use rw_host::program::Args;
 use rw_host::settings::{self, BoundSockets, Loaded, NodeSettings, SettingsError};
 use rw_host::{http, logging};
@@ -52,7 +52,9 @@
     let (store, records) = open_journal(&data, &node.name)?;
     let peers = Peering::Fixed(control.peers);
     let hashes = control.operator_token_hashes;
-    let started = start(bound, &node, (store, records), hashes, &peers)?;
+    let started = start(bound, &node, (store, records), hashes, &peers, MAX_LINKS)?;
+    let api = started.api;
+    http::serve(node.http, api::HTTP_CONNECTIONS, move |req| api.handle(req))?;
     started.event_loop.run(&started.rx)
 }
 
@@ -71,15 +73,19 @@
     /// Events for [`EventLoop::run`].
     pub(crate) rx: Receiver<Event>,
     pub(crate) cluster: Cluster,
+    /// The node's own interface, which the caller serves.
+    pub(crate) api: Api,
 }
 
-/// Starts a control node's links, cluster membership and HTTP API. The caller runs the event loop.
+/// Starts a control node's links and cluster membership. The caller serves the HTTP API and runs the
+/// event loop.
 pub(crate) fn start(
     bound: BoundSockets,
     node: &NodeSettings,
     journal: (Store, Vec<Record>),
     operator_token_hashes: Vec<String>,
     peering: &Peering,
+    max_unproven_links: usize,
 ) -> Result<StartedNode, ControlError> {
     let (store, records) = journal;
     let me = find_identity(&records).unwrap_or_else(|| new_voter(&node.name));
@@ -92,6 +98,7 @@
         role: Role::Control,
         fetches_config: false,
         event_capacity: EVENT_CAPACITY,
+        max_unproven_links,
     };
     let daemon = daemon::start::<Event>(bound, node, options)?;
     let Daemon {
@@ -115,7 +122,6 @@
         token_hashes: operator_token_hashes.into(),
         ready: ready.clone(),
     };
-    http::serve(node.http, api::HTTP_CONNECTIONS, move |req| api.handle(req))?;
     let event_loop = EventLoop {
         raft,
         store,
@@ -139,6 +145,7 @@
         tx,
         rx,
         cluster,
+        api,
     })
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! a new cluster starts without `--init`.
 
 mod api;
+mod doors;
 mod event_loop;
 pub mod operations;
 pub mod pooled;
--- a/crates/control/src/operations.rs
+++ b/crates/control/src/operations.rs
@@ -1,6 +1,6 @@
 //! Operations that an [`OperatorProtocol`] can perform on a control node.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use flume::Sender;
@@ -8,6 +8,7 @@
 use rw_core::config::{Change, ChangeOutcome, ChangeRequest};
 use rw_core::ids::Name;
 use rw_core::pool::catalog::Catalog;
+use rw_host::json::{self, JsonLimits};
 
 use crate::api::{ChangeReply, ReadReply};
 use crate::event_loop::Event;
@@ -77,11 +78,42 @@
 #[derive(Clone, Debug)]
 pub struct Operations {
     tx: Sender<Event>,
+    documents: Arc<Documents>,
+}
+
+/// Bounds the memory of documents that are being parsed.
+#[derive(Debug)]
+struct Documents {
+    limits: JsonLimits,
+    /// Held while a document is parsed, so that only one takes memory for it.
+    parsing: Mutex<()>,
 }
 
 impl Operations {
-    pub(crate) fn new(tx: Sender<Event>) -> Self {
-        Self { tx }
+    /// `parsed_bytes` is the maximum estimated size of a parsed document.
+    pub(crate) fn new(tx: Sender<Event>, parsed_bytes: usize) -> Self {
+        let documents = Documents {
+            limits: JsonLimits::document(parsed_bytes),
+            parsing: Mutex::new(()),
+        };
+        Self {
+            tx,
+            documents: Arc::new(documents),
+        }
+    }
+
+    /// Parses a JSON document, one at a time. Fails if it is too deep or would take too much memory.
+    pub fn parse<T, F>(&self, text: &[u8], parse: F) -> Result<T, String>
+    where
+        F: FnOnce(&[u8]) -> Result<T, String>,
+    {
+        let documents = &self.documents;
+        let _parsing = documents
+            .parsing
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        json::check(text, &documents.limits).map_err(|e| e.to_string())?;
+        parse(text)
     }
 
     /// Publishes a catalogue and waits until it is committed, for at most 5 s.
--- a/crates/control/src/pooled.rs
+++ b/crates/control/src/pooled.rs
@@ -7,15 +7,17 @@
 
 use rw_core::ids::{Digest, Name};
 use rw_core::raft::{Raft, VoterId};
-use rw_host::http;
+use rw_host::http::{Service, serve_looped};
 use rw_host::settings::{BoundSockets, MachineLimits, NodeSettings};
 
+use crate::api::HTTP_CONNECTIONS;
+use crate::doors::Doors;
 use crate::event_loop::{self, ControlError, Peering, StartedNode};
 use crate::operations::{Operations, OperatorProtocol};
 use crate::store::Store;
 
-/// Maximum number of open operator connections; further ones are refused.
-const OPERATOR_CONNECTIONS: usize = 64;
+/// Maximum number of the operators' requests in progress; further ones are refused.
+const OPERATOR_REQUESTS: usize = 64;
 
 /// Parameters of [`run`].
 pub struct ControlSetup {
@@ -51,23 +53,34 @@
     let bound = BoundSockets::bind(&setup.node)?;
     create_initial_journal(&setup)?;
     let journal = event_loop::open_journal(&setup.data, &name)?;
+    let doors = Doors::new(&setup.limits);
     let StartedNode {
         event_loop,
         tx,
         rx,
         cluster,
+        api,
     } = event_loop::start(
         bound,
         &setup.node,
         journal,
         setup.operator_token_hashes,
         &Peering::Members,
+        doors.max_unproven_links,
     )?;
-    let operations = Operations::new(tx);
+    let operations = Operations::new(tx, doors.http.parsed_bytes);
     let protocol = setup.protocol;
-    http::serve(setup.operators, OPERATOR_CONNECTIONS, move |req| {
-        protocol.handle(req, &operations)
-    })?;
+    let operators = Service {
+        addr: setup.operators,
+        max_requests: OPERATOR_REQUESTS,
+        handler: Arc::new(move |req| protocol.handle(req, &operations)),
+    };
+    let own = Service {
+        addr: setup.node.http,
+        max_requests: HTTP_CONNECTIONS,
+        handler: Arc::new(move |req| api.handle(req)),
+    };
+    serve_looped(vec![operators, own], doors.http, cluster.hello.clone())?;
     rw_host::link::spawn("reload", move || {
         loop {
             std::thread::sleep(std::time::Duration::from_secs(1));
--- a/crates/entry/src/event_loop.rs
+++ b/crates/entry/src/event_loop.rs
@@ -15,7 +15,7 @@
 use rw_host::daemon::{self, Daemon, DaemonEvent, DaemonOptions};
 use rw_host::dial::Dialer;
 use rw_host::http::PendingRequests;
-use rw_host::link::{Link, LinkEvent};
+use rw_host::link::{Link, LinkEvent, MAX_LINKS};
 use rw_host::program::Args;
 use rw_host::settings::{self, SettingsError};
 use rw_host::{clock, http, logging};
@@ -95,6 +95,7 @@
         role: Role::Entry,
         fetches_config: true,
         event_capacity: EVENT_CAPACITY,
+        max_unproven_links: MAX_LINKS,
     };
     let daemon = daemon::start::<Event>(bound, &node, options)?;
     let Daemon {
--- a/crates/host/src/daemon.rs
+++ b/crates/host/src/daemon.rs
@@ -34,6 +34,8 @@
     pub fetches_config: bool,
     /// Capacity of the event channel, in events; senders block while it is full.
     pub event_capacity: usize,
+    /// Maximum number of incoming links that have not proved the key yet.
+    pub max_unproven_links: usize,
 }
 
 /// The parts of a started daemon.
@@ -81,7 +83,7 @@
         sink: Arc::new(move |event| drop(link_tx.send(E::link(event)))),
     };
     let cluster = setup.start(&bound)?;
-    linker.accept(bound.link);
+    linker.accept_within(bound.link, options.max_unproven_links);
     let signal = program::shutdown_signal()?;
     let shutdown_tx = tx.clone();
     spawn("shutdown", move || {
--- a/crates/host/src/http.rs
+++ b/crates/host/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP helpers that the daemons share: health, readiness and metrics endpoints, problem documents,
 //! bodies of limited size.
 
+mod looped;
 mod server;
 
 use std::io::Read;
@@ -13,6 +14,7 @@
 use crate::json::{self, JsonLimits};
 use crate::metrics;
 
+pub use looped::{Service, serve_looped};
 pub use server::{PendingRequests, serve};
 
 /// Maximum estimated size of a parsed body, in bytes.
--- a/crates/host/src/link.rs
+++ b/crates/host/src/link.rs
@@ -3,12 +3,14 @@
 //! Each link has a reader and a writer thread. An idle side sends pings; a side that receives
 //! nothing for [`SILENCE_LIMIT`] closes the link, because TCP does not report a partition.
 
+mod unproven;
+
 use std::io::{self, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use flume::{Receiver, RecvTimeoutError, Sender};
 use rw_core::codec::{
@@ -20,6 +22,8 @@
 
 use crate::metrics;
 
+use unproven::{AwaitedProof, Unproven};
+
 /// Time since the last outgoing message after which a ping is sent.
 pub const PING_AFTER: Duration = Duration::from_millis(500);
 /// Time limit for establishing a TCP connection.
@@ -139,14 +143,24 @@
 impl Linker {
     /// Starts a thread that accepts links on a bound listener.
     pub fn accept(&self, listener: TcpListener) {
+        self.accept_within(listener, MAX_LINKS);
+    }
+
+    /// As [`Self::accept`], with at most `max_unproven` links that have not proved the key yet.
+    pub fn accept_within(&self, listener: TcpListener, max_unproven: usize) {
         let linker = self.clone();
+        let unproven = Unproven::new(max_unproven);
         spawn("link-accept", move || {
             for stream in listener.incoming().flatten() {
                 if OPEN_LINKS.load(Ordering::Relaxed) >= MAX_LINKS {
                     continue;
                 }
+                let stream = Arc::new(stream);
+                let Some(proof) = unproven.register(Instant::now(), &stream) else {
+                    continue;
+                };
                 let linker = linker.clone();
-                spawn("link-read", move || linker.serve(stream, false));
+                spawn("link-read", move || linker.serve(stream, Some(proof)));
             }
         });
     }
@@ -154,14 +168,15 @@
     /// Opens a link and serves it on the calling thread until it ends. Errors are only logged.
     pub fn dial(&self, addr: SocketAddr) {
         match TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT) {
-            Ok(stream) => self.serve(stream, true),
+            Ok(stream) => self.serve(Arc::new(stream), None),
             Err(e) => log::debug!(peer:% = addr, error:% = e; "cannot connect to the peer"),
         }
     }
 
-    fn serve(&self, stream: TcpStream, is_client: bool) {
+    /// Serves a link until it ends. `proof` is held by an incoming one until it has proved the key.
+    fn serve(&self, stream: Arc<TcpStream>, proof: Option<AwaitedProof>) {
         OPEN_LINKS.fetch_add(1, Ordering::Relaxed);
-        if let Err(e) = self.run(stream, is_client) {
+        if let Err(e) = self.run(stream, proof) {
             if matches!(e.source, LinkErrorKind::Codec(_)) {
                 metrics::BAD_FRAMES.inc();
                 log::warn!(error:% = e; "link ended: frame not accepted");
@@ -172,19 +187,15 @@
         OPEN_LINKS.fetch_sub(1, Ordering::Relaxed);
     }
 
-    fn run(&self, stream: TcpStream, is_client: bool) -> Result<(), LinkError> {
-        let (mut framed, peer) = FramedStream::open(stream, &self.key, &self.hello, is_client)?;
+    fn run(&self, stream: Arc<TcpStream>, proof: Option<AwaitedProof>) -> Result<(), LinkError> {
+        let is_client = proof.is_none();
+        let (mut framed, peer) =
+            FramedStream::open(stream.clone(), &self.key, &self.hello, is_client)?;
+        drop(proof);
         let (tx, rx) = flume::bounded(SEND_QUEUE_CAPACITY);
         let id = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
         let writer = framed.take_writer().at_step("open", framed.peer)?;
         spawn("link-write", move || writer.run(&rx));
-        let stream = Arc::new(
-            framed
-                .reader
-                .get_ref()
-                .try_clone()
-                .at_step("open", framed.peer)?,
-        );
         (self.sink)(LinkEvent::Up(Link {
             id,
             peer,
@@ -194,7 +205,7 @@
         }));
         let end = self.read_loop(id, &mut framed);
         (self.sink)(LinkEvent::Down(id));
-        let _ = framed.reader.get_ref().shutdown(Shutdown::Both);
+        let _ = framed.stream.shutdown(Shutdown::Both);
         end
     }
 
@@ -219,7 +230,7 @@
         role: Role::Tool,
         ..hello.clone()
     };
-    let (mut framed, _) = FramedStream::open(stream, key, &hello, true)?;
+    let (mut framed, _) = FramedStream::open(Arc::new(stream), key, &hello, true)?;
     framed.write(&Msg::Ask(ask)).at_step("ask", addr)?;
     loop {
         match framed.read().at_step("await reply", addr)? {
@@ -232,10 +243,20 @@
     }
 }
 
+/// The reading half of a connection. Halves share one descriptor.
+struct SharedStream(Arc<TcpStream>);
+
+impl Read for SharedStream {
+    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
+        (&*self.0).read(buf)
+    }
+}
+
 /// A connection after the exchange of nonces, in both directions.
 struct FramedStream {
     peer: SocketAddr,
-    reader: BufReader<TcpStream>,
+    stream: Arc<TcpStream>,
+    reader: BufReader<SharedStream>,
     opener: Opener,
     sealer: Option<Sealer>,
     buf: Vec<u8>,
@@ -244,7 +265,7 @@
 impl FramedStream {
     /// Exchanges nonces and [`Hello`] messages.
     fn open(
-        stream: TcpStream,
+        stream: Arc<TcpStream>,
         key: &ClusterKey,
         hello: &Hello,
         is_client: bool,
@@ -260,8 +281,8 @@
             .at_step("open", peer)?;
         let local_nonce: [u8; NONCE_BYTES] = std::array::from_fn(|_| fastrand::u8(..));
         let mut peer_nonce = [0; NONCE_BYTES];
-        (&stream).write_all(&local_nonce).at_step("greet", peer)?;
-        (&stream)
+        (&*stream).write_all(&local_nonce).at_step("greet", peer)?;
+        (&*stream)
             .read_exact(&mut peer_nonce)
             .at_step("greet", peer)?;
         let (client, server) = if is_client {
@@ -270,9 +291,10 @@
             (&peer_nonce, &local_nonce)
         };
         let (sealer, opener) = key.directions(client, server, is_client);
-        let reader = BufReader::with_capacity(BATCH_BYTES, stream);
+        let reader = BufReader::with_capacity(BATCH_BYTES, SharedStream(stream.clone()));
         let mut framed = Self {
             peer,
+            stream,
             reader,
             opener,
             sealer: Some(sealer),
@@ -293,7 +315,7 @@
         };
         let buf = sealer.seal(msg, Vec::new())?;
         metrics::count_sent(msg);
-        self.reader.get_mut().write_all(&buf)?;
+        (&*self.stream).write_all(&buf)?;
         Ok(())
     }
 
@@ -313,7 +335,7 @@
 
     /// Moves the sending direction to a [`Writer`]. Fails if it was moved already.
     fn take_writer(&mut self) -> io::Result<Writer> {
-        let stream = self.reader.get_ref().try_clone()?;
+        let stream = self.stream.clone();
         let sealer = self.sealer.take().ok_or(io::ErrorKind::Other)?;
         Ok(Writer {
             peer: self.peer,
@@ -326,7 +348,7 @@
 
 struct Writer {
     peer: SocketAddr,
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     sealer: Sealer,
     buf: Vec<u8>,
 }
@@ -352,7 +374,7 @@
             {
                 self.seal(&msg)?;
             }
-            self.stream.write_all(&self.buf)?;
+            (&*self.stream).write_all(&self.buf)?;
             self.buf.clear();
         }
     }
