A caller that disconnects is noticed while its reading is paused

With more than 16 KiB sent ahead of a response, the end of the caller's half of the connection was not looked at, so that its job would have gone on. Time-outs of idle connections are not counted as closed strangers, and some callers are served however many links are open. What concerns the budget of a connection has its own file.

--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -27,8 +27,7 @@
 
 pub(crate) use http::{CONTINUE, response_bytes};
 pub use http::{HttpLimits, HttpRequest, HttpResponse, request_bytes};
-pub use reader::BodyUse;
-pub(crate) use reader::{Progress, RequestReader};
+pub use reader::{BodyUse, Progress, RequestReader};
 
 use budget::StrangerLimits;
 use conn::{Conn, ConnKind, ParseContext};
@@ -474,7 +473,7 @@
             }
         }
         for id in overdue {
-            if let Some(conn) = self.conns.get(&id) {
+            if let Some(conn) = self.conns.get(&id).filter(|conn| conn.is_awaited()) {
                 self.strangers.count(conn, "time");
             }
             self.finish(id, out);
--- a/crates/host/src/net/conn.rs
+++ b/crates/host/src/net/conn.rs
@@ -1,5 +1,7 @@
 //! One connection of the event loop: its protocol, buffers and time limits.
 
+mod standing;
+
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,7 +11,7 @@
 use rw_core::msg::{Hello, Msg};
 use rw_core::pool::{KeepAlive, Uptime};
 
-use super::budget::{self, Holding, Standing};
+use super::budget;
 use super::http::{
     CONTINUE, HttpLimits, HttpRequest, HttpResponse, Parsed, parse_response, response_bytes,
 };
@@ -23,9 +25,6 @@
 /// Output in bytes that is queued for a peer, beyond which the connection is closed if there is more
 /// to send. A single longer message is not cut off.
 const MAX_OUTPUT_BYTES: usize = 8 * 1024 * 1024;
-/// Input in bytes that is read before a request is parsed or ahead of its response, beyond which
-/// reading pauses. Heads may be longer where the limits permit it.
-const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 /// Bytes that are read from a connection before others get their turn.
 const MAX_TURN_BYTES: usize = 256 * 1024;
 /// Time limit for a peer to prove that it has the cluster's key.
@@ -221,71 +220,6 @@
         !self.input.is_empty() || self.reader.is_midway()
     }
 
-    /// Returns whether the peer has proved nothing: a caller, or a link without a proof of the key.
-    pub(super) fn is_stranger(&self) -> bool {
-        match self.kind {
-            ConnKind::Http(_) => true,
-            ConnKind::Calls => false,
-            ConnKind::Link => self
-                .link
-                .as_ref()
-                .is_some_and(|link| !link.is_client && !link.is_up()),
-        }
-    }
-
-    /// Returns the memory in bytes that the connection's buffers take.
-    pub(super) fn held_bytes(&self) -> usize {
-        self.input.capacity() + self.output.capacity() + self.reader.held_bytes()
-    }
-
-    /// Returns what the connection holds and does, for the budget of strangers.
-    pub(super) fn holding(&self, id: ConnId) -> Holding {
-        let standing = if self.serving {
-            Standing::InProgress
-        } else if self.has_output() && self.link.is_none() {
-            Standing::Unread
-        } else if self.was_served && !self.is_midway() {
-            Standing::Idle
-        } else {
-            Standing::Incomplete
-        };
-        Holding {
-            id,
-            bytes: self.held_bytes(),
-            standing,
-            active_at: self.last_received.max(self.last_written),
-        }
-    }
-
-    /// Tells a caller whose request has begun that it is not run, as far as the socket takes it.
-    pub(super) fn refuse_for_lack_of_room(&mut self) {
-        if self.reader.head().is_none() || self.has_output() {
-            return;
-        }
-        self.last_request = true;
-        let body = br#"{"error":"too many requests at once; not run"}"#.to_vec();
-        let mut response = HttpResponse::with_body(503, "application/json", body);
-        response.headers.push(("Retry-After".into(), "1".into()));
-        self.respond(&response);
-        self.write(self.last_received);
-    }
-
-    /// Returns whether there is input to read or to parse, and nothing that it waits for.
-    pub(super) fn can_go_on(&self, limits: &HttpLimits) -> bool {
-        let is_waiting = matches!(self.kind, ConnKind::Http(_)) && self.is_serving();
-        !is_waiting && (self.unread && !self.is_full(limits) || self.has_next)
-    }
-
-    /// Returns whether the connection holds as much input as it may before its next step.
-    pub(super) fn is_full(&self, limits: &HttpLimits) -> bool {
-        let max = match self.kind {
-            ConnKind::Http(_) => MAX_READ_AHEAD_BYTES.max(limits.head_bytes),
-            ConnKind::Link if self.is_stranger() => MAX_READ_AHEAD_BYTES,
-            ConnKind::Link | ConnKind::Calls => usize::MAX,
-        };
-        self.input.len() > max || self.closing_since.is_some()
-    }
-
     pub(super) fn is_serving(&self) -> bool {
         self.serving || self.has_output()
     }
@@ -300,7 +234,8 @@
         loop {
             if self.is_full(limits) || turn >= MAX_TURN_BYTES {
                 self.unread = true;
-                return true;
+                // What a caller that has disconnected sent is not needed.
+                return !(half_closed && matches!(self.kind, ConnKind::Http(_)));
             }
             match self.stream.read(&mut buf) {
                 Ok(0) => {
--- a/crates/host/src/net/reader.rs
+++ b/crates/host/src/net/reader.rs
@@ -4,7 +4,8 @@
 use super::http::{HttpLimits, HttpRequest, MAX_HEADERS, closes_connection, owned_headers};
 
 /// The result of reading a connection's input.
-pub(crate) enum Progress {
+#[derive(Debug)]
+pub enum Progress {
     /// The request is not complete yet.
     Incomplete,
     /// A request, and whether the connection closes after it.
@@ -24,7 +25,7 @@
 
 /// Reads the requests of one connection.
 #[derive(Debug, Default)]
-pub(crate) struct RequestReader {
+pub struct RequestReader {
     state: State,
 }
 
@@ -76,12 +77,7 @@
 impl RequestReader {
     /// Reads as much of `input` as there is of one request and removes it. `body_use` decides from a
     /// request's head whether its body is kept.
-    pub(crate) fn read<F>(
-        &mut self,
-        input: &mut Vec<u8>,
-        limits: &HttpLimits,
-        body_use: F,
-    ) -> Progress
+    pub fn read<F>(&mut self, input: &mut Vec<u8>, limits: &HttpLimits, body_use: F) -> Progress
     where
         F: FnOnce(&HttpRequest) -> BodyUse,
     {
@@ -107,7 +103,7 @@
 
     /// Moves the first of these bytes to a body of known length; returns their number. All input
     /// that was received before must have been read.
-    pub(crate) fn take_body(&mut self, bytes: &[u8]) -> usize {
+    pub fn take_body(&mut self, bytes: &[u8]) -> usize {
         let State::Body(body) = &mut self.state else {
             return 0;
         };
@@ -123,12 +119,12 @@
     }
 
     /// Returns whether a part of a request has been read.
-    pub(crate) fn is_midway(&self) -> bool {
+    pub fn is_midway(&self) -> bool {
         matches!(self.state, State::Body(_))
     }
 
     /// Returns the request that is being read, once its head has arrived.
-    pub(crate) fn head(&self) -> Option<&HttpRequest> {
+    pub fn head(&self) -> Option<&HttpRequest> {
         match &self.state {
             State::Body(body) => Some(&body.request),
             State::Head => None,
@@ -136,7 +132,7 @@
     }
 
     /// Returns the memory in bytes that the request takes so far.
-    pub(crate) fn held_bytes(&self) -> usize {
+    pub fn held_bytes(&self) -> usize {
         match &self.state {
             State::Body(body) => body.request.held_bytes(),
             State::Head => 0,
@@ -144,7 +140,7 @@
     }
 
     /// Drops what has been read of a request.
-    pub(crate) fn clear(&mut self) {
+    pub fn clear(&mut self) {
         self.state = State::Head;
     }
 }
--- a/crates/host/src/net/strangers.rs
+++ b/crates/host/src/net/strangers.rs
@@ -15,6 +15,8 @@
 /// Part of a limit that is freed when the limit is exceeded, so that the connections are not searched
 /// for each new one.
 const FREED_SHARE: usize = 32;
+/// Number of strangers that may connect however many links are open.
+const MIN_STRANGERS: usize = 4;
 /// Minimum time between two log lines about closed connections.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -111,7 +113,10 @@
             return true;
         }
         let strangers = self.conns.values().filter(|conn| conn.is_stranger());
-        if strangers.count() < limits.conns && self.conns.len() < limits.all_conns {
+        let strangers = strangers.count();
+        // However many links there are, some callers are served.
+        let has_room = strangers < limits.conns && self.conns.len() < limits.all_conns;
+        if has_room || strangers < MIN_STRANGERS {
             return true;
         }
         let freed = 1 + limits.conns / FREED_SHARE;
