--- a/crates/host/src/json.rs
+++ b/crates/host/src/json.rs
@@ -26,7 +26,7 @@
 
 impl JsonLimits {
     /// Limits on a caller's job and a worker's announcement. The largest job, with all its fields and
-    /// each step waiting for all earlier ones, is estimated at 300 KB.
+    /// each step waiting for all earlier ones, is estimated at less than 400 KB.
     pub const REQUEST: Self = Self {
         depth: 32,
         parsed_bytes: 1024 * 1024,
--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -364,7 +364,7 @@
         let mut open = true;
         let mut read = false;
         if ready.readable {
-            if self.strangers.has_delivered_enough() && !ready.half_closed && conn.is_stranger() {
+            if self.strangers.pauses(conn) && !ready.half_closed {
                 conn.unread = true;
             } else {
                 open = conn.read(now, ready.half_closed, &self.limits);
@@ -419,13 +419,12 @@
         dirty.sort_unstable();
         dirty.dedup();
         for id in dirty {
-            let waits = self.strangers.has_delivered_enough();
             let Some(conn) = self.conns.get_mut(&id) else {
                 continue;
             };
             conn.begin_handshake(&self.key);
             let mut open = conn.write(now);
-            if open && waits && conn.is_stranger() {
+            if open && !conn.is_serving() && self.strangers.pauses(conn) {
                 self.dirty.push(id);
                 continue;
             }
--- a/crates/host/src/net/strangers.rs
+++ b/crates/host/src/net/strangers.rs
@@ -46,9 +46,12 @@
         }
     }
 
-    /// Returns whether the requests delivered so far are to be handled before others are read.
-    pub(super) fn has_delivered_enough(&self) -> bool {
-        self.delivered > self.limits.bytes / DELIVERED_SHARE
+    /// Returns whether reading from a connection pauses: until the requests delivered so far are
+    /// handled, or, while half of the budget is used, until its own request is.
+    pub(super) fn pauses(&self, conn: &Conn) -> bool {
+        conn.is_stranger()
+            && (self.delivered > self.limits.bytes / DELIVERED_SHARE
+                || conn.is_serving() && self.bytes > self.limits.bytes / 2)
     }
 
     /// Takes a connection that ends off the account.
