What is read in a later turn is handled as what is read at once

A connection that had more to say than one turn takes was read on without a look at its end: a refusal or a part of a handshake that the later turn queued waited for the next event, and what preceded the end of a link or of a worker's answer was not parsed. The end that an event told is kept with the connection.

--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -361,13 +361,14 @@
         if !conn.opened && writable {
             conn.opened = conn.stream.peer_addr().is_ok();
         }
+        conn.half_closed |= ready.half_closed;
         let mut open = true;
         let mut read = false;
         if ready.readable {
             if self.strangers.pauses(conn) && !ready.half_closed {
                 conn.unread = true;
             } else {
-                open = conn.read(now, ready.half_closed, &self.limits);
+                open = conn.read(now, &self.limits);
                 read = open || !conn.drop_request();
             }
         }
@@ -428,15 +429,18 @@
                 self.dirty.push(id);
                 continue;
             }
+            let mut parses = open;
             if open && conn.unread && !conn.is_full(&self.limits) {
-                open = conn.read(now, false, &self.limits);
+                open = conn.read(now, &self.limits);
+                parses = open || !conn.drop_request();
             }
-            if open {
+            if parses {
                 self.parse(now, id, out);
-                let Some(conn) = self.conns.get(&id) else {
+                let Some(conn) = self.conns.get_mut(&id) else {
                     continue;
                 };
-                open = !conn.broken;
+                // Parsing queues refusals and parts of a handshake.
+                open = open && !conn.broken && conn.write(now);
                 if open && conn.can_go_on(&self.limits) {
                     self.dirty.push(id);
                 }
--- a/crates/host/src/net/conn.rs
+++ b/crates/host/src/net/conn.rs
@@ -91,7 +91,10 @@
     closing_since: Option<Uptime>,
     /// Whether the connection closes after the current or next response.
     last_request: bool,
-    /// The peer has closed its sending half.
+    /// An event told that the peer has closed its sending half, or that the connection failed; there
+    /// may be input before the end.
+    pub(super) half_closed: bool,
+    /// The peer has closed its sending half, and all input is read or dropped.
     peer_closed: bool,
     created_at: Uptime,
     /// When the first byte of the incomplete request arrived.
@@ -128,6 +131,7 @@
             serving: false,
             closing_since: None,
             last_request: false,
+            half_closed: false,
             peer_closed: false,
             created_at: now,
             request_started: None,
@@ -227,9 +231,10 @@
     /// Reads the available input, as far as the connection may hold it. Returns `false` when the
     /// connection has ended. A read that does not fill the buffer has emptied the socket, and later
     /// input raises a new event, unless the peer has closed its sending half.
-    pub(super) fn read(&mut self, now: Uptime, half_closed: bool, limits: &HttpLimits) -> bool {
+    pub(super) fn read(&mut self, now: Uptime, limits: &HttpLimits) -> bool {
         let mut buf = [0; READ_BYTES];
         let mut turn = 0;
+        let half_closed = self.half_closed;
         self.unread = false;
         loop {
             if self.is_full(limits) || turn >= MAX_TURN_BYTES {
