--- a/crates/agent/src/pooled/notes.rs
+++ b/crates/agent/src/pooled/notes.rs
@@ -136,4 +136,5 @@
     set("promised_cpu_milli", promised.cpu_milli as usize);
     set("connections", conns);
     set("connections_refused", refused as usize);
+    set("stranger_bytes", net.stranger_bytes());
 }
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -357,4 +357,5 @@
     set("reserved_for_others_cpu_milli", room.reserved as usize);
     set("connections", conns);
     set("connections_refused", refused as usize);
+    set("stranger_bytes", net.stranger_bytes());
 }
