--- a/crates/core/tests/support/crowd.rs
+++ b/crates/core/tests/support/crowd.rs
@@ -225,7 +225,9 @@
                 }
             }
             self.step_workers(alive);
-            for e in (0..self.entries.len()).filter(|e| alive[*e]) {
+            let (first, count) = (self.steps as usize, self.entries.len());
+            let order = (first..first + count).map(|e| e % count);
+            for e in order.filter(|e| alive[*e]) {
                 let mut out = Vec::new();
                 self.entries[e].observe(self.now, &mut out);
                 self.entries[e].place_waiting(self.now, &mut out);
@@ -259,6 +261,10 @@
         };
         self.run_times
             .insert(id, estimate.mul_f64(0.8 + 0.4 * self.rng.f64()));
+        let mut e = self.rng.usize(0..self.entries.len());
+        while !alive[e] {
+            e = self.rng.usize(0..self.entries.len());
+        }
         let sent = Sent {
             queue: kind.queue,
             work: job.work(),
@@ -267,10 +273,6 @@
             outcome: None,
         };
         self.sent.insert(id, sent);
-        let mut e = self.rng.usize(0..self.entries.len());
-        while !alive[e] {
-            e = self.rng.usize(0..self.entries.len());
-        }
         let mut out = Vec::new();
         let (queue, deadline) = (Arc::new(queue_of(kind)), Duration::from_millis(1500));
         self.entries[e].submit(self.now, job, queue, id.0, deadline, &mut out);
