Parts of the load are kept by pool; loads only of pools that need them

With two pools whose queues differ in priority, an entry that hears from nobody went by the part of whichever was ranked last. Plays also check how often the order turns and that the returns of refused callers are spread.

--- a/crates/core/src/pool/scheduler/contention.rs
+++ b/crates/core/src/pool/scheduler/contention.rs
@@ -92,6 +92,8 @@
     /// Sets the queues of the catalogue in force.
     pub fn set_catalog(&mut self, catalog: &Catalog) {
         self.queues = QueueRanks::new(&catalog.queues);
+        self.shares
+            .retain_pools(|pool| self.queues.is_contended(pool));
         for (pool, load) in &mut self.loads {
             load.floors.retain(|queue| self.queues.is_of(queue, pool));
         }
@@ -99,6 +101,9 @@
 
     /// Records a job that callers submit, and returns its size class.
     pub(super) fn on_asked(&mut self, now: Uptime, spec: &Job, queue: &Queue) -> SizeClass {
+        if !self.queues.is_contended(&queue.pool) {
+            return SizeClass::default();
+        }
         let work = spec.work();
         let load = self.loads.entry(queue.pool.clone()).or_default();
         load.asked.add(now, &queue.name, work);
@@ -145,7 +150,7 @@
                 other_sum = other_sum.plus(other);
                 demands.insert(queue.clone(), own.plus(other));
             }
-            let part = self.shares.part(now, own_sum.asked, other_sum.asked);
+            let part = self.shares.part(now, pool, own_sum.asked, other_sum.asked);
             let room = Room {
                 rate: load.rate().max(self.fleet.free_cpu(now, pool) * part),
                 asked: own_sum.asked,
--- a/crates/core/src/pool/scheduler/load.rs
+++ b/crates/core/src/pool/scheduler/load.rs
@@ -168,6 +168,9 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
+            if self.queues.is_contended(&job.queue.pool) {
+                continue;
+            }
             let work: f64 = job.ready_work();
             if !self.loads.contains_key(&job.queue.pool) {
                 self.loads
--- a/crates/core/src/pool/shares.rs
+++ b/crates/core/src/pool/shares.rs
@@ -160,8 +160,8 @@
     next_report: Uptime,
     /// Last time at which work waited here or, by a report, at another entry.
     busy_at: Option<Uptime>,
-    /// This entry's part of the work asked of all entries, when it last heard from others.
-    known_part: Option<f64>,
+    /// This entry's part of the work asked of all entries, by pool, when it last heard from others.
+    known_parts: IndexMap<Name, f64>,
 }
 
 impl Default for Shares {
@@ -172,7 +172,7 @@
             reports: IndexMap::new(),
             next_report: Uptime::ZERO,
             busy_at: None,
-            known_part: None,
+            known_parts: IndexMap::new(),
         }
     }
 }
@@ -201,6 +201,14 @@
         ((MAX_INTERVALS - intervals) / (MAX_INTERVALS - FULL_INTERVALS)).clamp(0.0, 1.0)
     }
 
+    /// Forgets the pools that are not in the catalogue any more.
+    pub fn retain_pools<F>(&mut self, keep: F)
+    where
+        F: Fn(&Name) -> bool,
+    {
+        self.known_parts.retain(|pool, _| keep(pool));
+    }
+
     /// Forgets reports that no longer count.
     pub fn expire(&mut self, now: Uptime) {
         let max_age = self.interval.mul_f64(MAX_INTERVALS);
@@ -234,18 +242,19 @@
         })
     }
 
-    /// Returns this entry's part of the load of all entries, 0 to 1.
+    /// Returns this entry's part of the load of a pool, 0 to 1.
     ///
-    /// `own` and `others` are what callers asked of this entry and of the others. Without reports
+    /// `own` and `others` are what callers asked of this entry and of the others there. Without reports
     /// that count in full, it is the part last known, and at first an equal one.
-    pub fn part(&mut self, now: Uptime, own: f64, others: f64) -> f64 {
+    pub fn part(&mut self, now: Uptime, pool: &Name, own: f64, others: f64) -> f64 {
         let full = self.interval.mul_f64(FULL_INTERVALS);
         let is_fresh = self.reports.values().any(|(at, _)| now < *at + full);
         if is_fresh && own + others > 0.0 {
-            self.known_part = Some(own / (own + others));
+            let part = own / (own + others);
+            self.known_parts.insert(pool.clone(), part);
         }
         let equal = 1.0 / self.entries as f64;
-        self.known_part.unwrap_or(equal)
+        self.known_parts.get(pool).copied().unwrap_or(equal)
     }
 
     /// Returns whether this entry is to report its load now. It does while work waits, here or at
--- a/crates/core/tests/pool_overload.rs
+++ b/crates/core/tests/pool_overload.rs
@@ -103,16 +103,19 @@
 /// after it was frozen.
 #[test]
 fn an_entry_that_hears_nothing_keeps_its_part() {
-    let mut shares = shares(4);
-    assert!((shares.part(START, 500.0, 0.0) - 0.25).abs() < 1e-6, "new");
+    let (mut shares, pool) = (shares(4), Name::from("p"));
+    assert!(
+        (shares.part(START, &pool, 500.0, 0.0) - 0.25).abs() < 1e-6,
+        "new"
+    );
     shares.on_report(START, &Name::from("e1"), report(1500, 0));
-    assert!((shares.part(START, 500.0, 1500.0) - 0.25).abs() < 1e-6);
+    assert!((shares.part(START, &pool, 500.0, 1500.0) - 0.25).abs() < 1e-6);
     shares.on_report(START, &Name::from("e2"), report(3000, 0));
-    assert!((shares.part(START, 500.0, 4500.0) - 0.1).abs() < 1e-6);
+    assert!((shares.part(START, &pool, 500.0, 4500.0) - 0.1).abs() < 1e-6);
     let later = START + Duration::from_secs(5);
     shares.expire(later);
     assert!(
-        (shares.part(later, 500.0, 0.0) - 0.1).abs() < 1e-6,
+        (shares.part(later, &pool, 500.0, 0.0) - 0.1).abs() < 1e-6,
         "cut off or frozen"
     );
 }
--- a/crates/core/tests/pool_overload_play.rs
+++ b/crates/core/tests/pool_overload_play.rs
@@ -80,6 +80,17 @@
         for crowd in &crowds {
             let in_aim = share(&crowd.sent_in(17 * SECOND, SECOND), &IN_AIM);
             assert!(in_aim > 0.95, "{in_aim} in time a second after the burst");
+            // The order turns at most once a second at each entry of a play of nine seconds.
+            let changes = crowd.mode_changes;
+            assert!(changes <= 9 * self.entries, "{changes} changes of order");
+            let mut returns = crowd.retry_after.clone();
+            returns.sort_unstable();
+            let at = |quarter: usize| returns[returns.len() * quarter / 4];
+            let spread = at(3).saturating_sub(at(1));
+            assert!(
+                spread >= SECOND / 4,
+                "half of the callers return in {spread:?}"
+            );
         }
         let sent = crowds.iter();
         let sent = sent.flat_map(|crowd| crowd.sent_in(12 * SECOND, 4 * SECOND));
