--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -417,28 +417,6 @@
         self.report_load(now, out);
     }
 
-    /// Answers jobs whose deadline has passed, and those not started whose deadline is nearer than
-    /// half of their estimated work.
-    fn answer_overdue(&mut self, now: Uptime, out: &mut Vec<Action>) {
-        let overdue = |job: &OpenJob| {
-            let work = if job.starts == 0 {
-                job.spec.critical_path()
-            } else {
-                Duration::ZERO
-            };
-            now + work / 2 >= job.deadline
-        };
-        let ids: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| overdue(job))
-            .map(|(id, _)| *id)
-            .collect();
-        for id in ids {
-            self.abort(now, id, "the deadline is too near", out);
-        }
-    }
-
     /// Releases jobs held for an entry whose runs have certainly ended.
     fn release_holds(&mut self, now: Uptime, out: &mut Vec<Action>) {
         let released: Vec<JobId> = self
--- a/crates/core/src/pool/scheduler/load.rs
+++ b/crates/core/src/pool/scheduler/load.rs
@@ -1,4 +1,5 @@
-//! Load of each pool as seen by this entry, and the resulting order of waiting jobs.
+//! Load of each pool as seen by this entry, the resulting order of waiting jobs, and refusals of
+//! those that wait too long.
 //!
 //! As long as all jobs can meet their aims, the job with the earliest aim goes first. Under
 //! overload, ordering by aim alone would make all jobs late. Queues that use no more than an equal
@@ -140,6 +141,28 @@
         }
     }
 
+    /// Answers jobs whose deadline has passed, and those not started whose deadline is nearer than
+    /// half of their estimated work.
+    pub(super) fn answer_overdue(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        let overdue = |job: &OpenJob| {
+            let work = if job.starts == 0 {
+                job.spec.critical_path()
+            } else {
+                Duration::ZERO
+            };
+            now + work / 2 >= job.deadline
+        };
+        let ids: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| overdue(job))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            self.abort(now, id, "the deadline is too near", out);
+        }
+    }
+
     fn refuse_overload(&mut self, now: Uptime, id: JobId, wait: Duration, out: &mut Vec<Action>) {
         out.push(Action::Note(Note::Overload { job: id, wait }));
         let answer = Answer::NotRun {
