Shares of a large task no longer keep room from small ones

Change: what is left is promised too if the smallest recent task fits, and only room for that one is promised ahead. The size of a share is limited to the worker.

--- a/crates/core/src/pool/room.rs
+++ b/crates/core/src/pool/room.rs
@@ -92,14 +92,29 @@
     }
 }
 
+/// The least and the largest amounts that tasks needed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sizes {
+    /// `None` if no task was started.
+    least: Option<Resources>,
+    largest: Resources,
+}
+
+impl Sizes {
+    fn add(&mut self, needs: Resources) {
+        self.least = Some(self.least.map_or(needs, |least| least.common(needs)));
+        self.largest = self.largest.largest(needs);
+    }
+}
+
 /// The promises of one worker's room.
 ///
 /// After [`Promises::allot`] their sum is no more than the free room, and what may be queued.
 #[derive(Debug, Default)]
 pub struct Promises {
     holders: IndexMap<Name, Holder>,
-    /// Largest needs of the tasks started in the present period, and in the one before.
-    largest: [Resources; 2],
+    /// Needs of the tasks started in the present period, and in the one before.
+    sizes: [Sizes; 2],
     /// When the present period began.
     period_began: Uptime,
 }
@@ -139,10 +154,10 @@
     /// Records the start of a task. Returns whether the room was promised to the entry.
     pub fn started(&mut self, now: Uptime, name: &Name, needs: Resources) -> Claim {
         if now >= self.period_began + UNIT_TIME {
-            self.largest = [Resources::default(), self.largest[0]];
+            self.sizes = [Sizes::default(), self.sizes[0]];
             self.period_began = now;
         }
-        self.largest[0] = self.largest[0].largest(needs);
+        self.sizes[0].add(needs);
         let Some(holder) = self.holders.get_mut(name) else {
             return Claim::Unpromised;
         };
@@ -161,8 +176,8 @@
     /// Adapts the promises to the free room of a worker: cuts those that exceed it and promises what
     /// is left. Returns when a promise lapses that another entry waits for.
     ///
-    /// `may_queue` allows to promise a full worker's room for one task more to an entry with waiting
-    /// jobs. The start is queued until a run ends, which saves a round trip without a run.
+    /// `may_queue` allows to promise room for one small task more than a full worker has to an entry
+    /// with waiting jobs. The start is queued until a run ends, which saves a round trip without a run.
     pub fn allot(
         &mut self,
         now: Uptime,
@@ -172,8 +187,9 @@
     ) -> Option<Uptime> {
         let unit = self.unit(capacity);
         let waiting = self.holders.values().any(|holder| holder.waiting_jobs > 0);
-        let ahead = if may_queue && waiting && !unit.fits(free) {
-            unit
+        let least = self.least().unwrap_or(unit);
+        let ahead = if may_queue && waiting && !least.fits(free) {
+            least
         } else {
             Resources::default()
         };
@@ -185,12 +201,18 @@
             if !cost.fits(left) {
                 self.reclaim(now, i, cost, &mut left);
             }
-            if !cost.fits(left) {
-                let reserved = self.holders.values().filter(|h| h.is_reserved(now));
-                next_lapse = reserved.map(|h| h.given + LAPSE_TIME).min();
-                break;
+            if cost.fits(left) {
+                self.give(now, i, (cost, unit), &mut left);
+                continue;
+            }
+            // Room for less than the largest task is of use to others.
+            let part = cost.common(left);
+            if least.fits(part) {
+                self.give(now, i, (part, unit), &mut left);
             }
-            self.give(now, i, (cost, unit), &mut left);
+            let reserved = self.holders.values().filter(|h| h.is_reserved(now));
+            next_lapse = reserved.map(|h| h.given + LAPSE_TIME).min();
+            break;
         }
         left = left.minus(ahead);
         while unit.fits(left) && unit.cpu_milli > 0 {
@@ -241,9 +263,9 @@
 
     /// Returns the room that is promised at a time: that of the largest task started recently.
     pub fn unit(&self, capacity: Resources) -> Resources {
-        let largest = self.largest[0].largest(self.largest[1]);
+        let largest = self.sizes[0].largest.largest(self.sizes[1].largest);
         if largest.cpu_milli > 0 {
-            return largest;
+            return largest.common(capacity);
         }
         Resources {
             cpu_milli: capacity.cpu_milli / FIRST_UNIT_DIVISOR,
@@ -252,6 +274,12 @@
         }
     }
 
+    /// Returns the least that a task started recently needed; `None` if there was none.
+    fn least(&self) -> Option<Resources> {
+        let sizes = self.sizes.iter().filter_map(|sizes| sizes.least);
+        sizes.reduce(Resources::common)
+    }
+
     /// Takes back what exceeds the free room, from entries without waiting jobs and the largest
     /// promises first.
     fn cut(&mut self, free: Resources) {
--- a/crates/core/tests/pool_room.rs
+++ b/crates/core/tests/pool_room.rs
@@ -72,6 +72,25 @@
     }
 }
 
+/// Guards against shares of the size of a large task that keep room from many small ones.
+#[test]
+fn tasks_of_unequal_size_rarely_find_no_room() {
+    let mixed: [Kind; 3] = [
+        (4, 800, Duration::from_millis(60), 120.0),
+        (1, 14_000, Duration::from_millis(300), 8.0),
+        (2, 3200, Duration::from_millis(200), 50.0),
+    ];
+    for (load, limit) in [(0.8, CALM_LIMIT), (1.5, RUSH_LIMIT)] {
+        let mut rush = Rush::new(1, 9, 54, 4);
+        rush.play(SECOND, &mixed, |_| load);
+        rush.take_counts();
+        rush.play(SECOND, &mixed, |_| load);
+        let counts = rush.take_counts();
+        assert_rejected(&counts, limit);
+        assert!(counts.mean_until_start() < AIM / 4, "{counts:?}");
+    }
+}
+
 /// Guards against domains out of step that cannot use one another's room.
 #[test]
 fn a_crest_in_two_domains_is_served_while_the_others_are_in_a_trough() {
