--- a/crates/core/src/pool/driver/owners.rs
+++ b/crates/core/src/pool/driver/owners.rs
@@ -274,9 +274,7 @@
             }
         }
     }
-}
 
-impl Driver {
     /// Promises the free room to the entries. Returns when to do so again at the latest, if nothing
     /// changes before.
     fn allot(&mut self, now: Uptime, free: Resources, queued: u32) -> Option<Uptime> {
--- a/crates/core/src/pool/msg.rs
+++ b/crates/core/src/pool/msg.rs
@@ -57,7 +57,7 @@
         /// The runs and the resources that they need.
         runs: Vec<(RunId, Resources)>,
     },
-    /// Whether jobs wait at the entry. While some do, agents report freed capacity at once.
+    /// Whether jobs wait at the entry. While some do, agents promise room to it first.
     Waiting {
         /// Number of jobs with waiting tasks.
         tasks: u32,
@@ -188,7 +188,7 @@
     pub free: Resources,
     /// Room that is promised to this entry: a part of `free`, or ahead of the next end of a run.
     pub promised: Resources,
-    /// Room that is promised at a time; entries with waiting jobs wait for it.
+    /// Room that is promised at a time: that of the largest task started recently.
     pub unit: Resources,
     /// Part of `free` that is promised to other entries, whose jobs wait for it.
     pub reserved: Resources,
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -238,8 +238,8 @@
         })
     }
 
-    /// Tells agents when jobs start or stop waiting here. While some wait, agents report freed
-    /// capacity at once.
+    /// Tells agents when jobs start or stop waiting here. While some wait, agents promise room to this
+    /// entry first.
     fn announce_waiting(&mut self, now: Uptime, out: &mut Vec<Action>) {
         let tasks = self.waiting.len() as u32;
         self.jobs_left_waiting = tasks > 0;
