--- a/crates/agent/src/pooled/notes.rs
+++ b/crates/agent/src/pooled/notes.rs
@@ -21,6 +21,14 @@
     )
 });
 
+static RESERVATIONS_ENDED: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_reservations_ended_total",
+        "Refused and ended reservations of room by reason",
+        &["why"],
+    )
+});
+
 fn ms(time: Duration) -> u64 {
     time.as_millis() as u64
 }
@@ -59,6 +67,19 @@
             log::info!(run:% = run, reason:? = reason; "run not started");
         }
         Note::Stopping { run, why } => log::info!(run:% = run, why = why; "stopping run"),
+        Note::Reserved {
+            task,
+            entry,
+            needs,
+            after,
+        } => {
+            log::info!(task:% = task, entry:% = entry, cpu = needs.cpu_milli,
+                memory_mb = needs.memory_mb, after_ms = ms(*after); "room reserved");
+        }
+        Note::ReservationEnded { task, why } => {
+            RESERVATIONS_ENDED.with_label_values(&[why]).inc();
+            log::info!(task:% = task, why = why; "reservation refused or ended");
+        }
         Note::StartUnanswered { run, waited } => {
             log::warn!(run:% = run, waited_ms = ms(*waited);
                 "start call not answered; stopping the run");
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -11,6 +11,7 @@
 mod lists;
 mod note;
 mod owners;
+mod reservations;
 mod speed;
 mod starts;
 mod worker;
@@ -27,6 +28,7 @@
 
 pub use call::{Call, CallTarget, EndedRow, Reply, RunningRow, StartRefusal};
 pub use note::Note;
+use reservations::LookAhead;
 use speed::Progress;
 
 pub use worker::{Heartbeat, HeartbeatOutcome, HeartbeatState};
@@ -305,6 +307,8 @@
     failure_rate: f32,
     /// Whether the process is shutting down.
     draining: bool,
+    /// Reserved room and what forecasts are made from.
+    ahead: LookAhead,
 }
 
 impl Driver {
@@ -341,6 +345,7 @@
             pace_stepped: now,
             failure_rate: 0.0,
             draining: false,
+            ahead: LookAhead::default(),
         }
     }
 
@@ -390,7 +395,9 @@
         self.end_runs_of_expired_lease(now, out);
         self.stop_orphans(now, out);
         self.retry_stops(now, out);
+        self.check_reservation(now, out);
         self.start_queued(now, out);
+        self.send_forecasts(now, out);
         self.forget_left_worker(now, out);
         self.identify_candidate(now, out);
         self.request_list(now, out);
@@ -512,6 +519,9 @@
             LEARNING_RATE
         };
         self.failure_rate += rate * (failed - self.failure_rate);
+        if end == RunEnd::Done {
+            self.ahead.note_run_time(run.estimate, ran);
+        }
         if end == RunEnd::Done && !run.pace_counted {
             self.learn_pace(now, run.estimate, ran);
         }
--- a/crates/core/src/pool/driver/note.rs
+++ b/crates/core/src/pool/driver/note.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::super::job::{EndEvidence, Resources, RunEnd, RunId};
+use super::super::job::{EndEvidence, Resources, RunEnd, RunId, TaskId};
 use super::super::msg::NotStarted;
 use super::HeartbeatState;
 use crate::ids::Name;
@@ -98,6 +98,24 @@
     },
     /// An unresponsive worker answered again.
     WorkerRecovered,
+    /// Room is reserved for a large waiting task.
+    Reserved {
+        /// The task.
+        task: TaskId,
+        /// The entry that asked for it.
+        entry: Name,
+        /// The reserved resources.
+        needs: Resources,
+        /// Time after which the room should be free even if runs take long.
+        after: Duration,
+    },
+    /// A reservation was refused or ended.
+    ReservationEnded {
+        /// The task.
+        task: TaskId,
+        /// Why.
+        why: &'static str,
+    },
     /// Nothing was received from an entry for too long, and its runs are stopped.
     EntryLost {
         /// The entry.
--- a/crates/core/src/pool/driver/owners.rs
+++ b/crates/core/src/pool/driver/owners.rs
@@ -114,7 +114,8 @@
             }
             ToAgent::Resume { runs } => self.on_resume(now, &owner, runs, out),
             ToAgent::Waiting { tasks } => entry.waiting_jobs = tasks,
-            ToAgent::Reserve(_) | ToAgent::Unreserve { .. } => {}
+            ToAgent::Reserve(wanted) => self.on_reserve(now, owner, wanted, out),
+            ToAgent::Unreserve { task } => self.on_unreserve(now, &owner, task, out),
         }
         self.request_list(now, out);
         self.report(now, out);
@@ -222,6 +223,7 @@
         let queued_runs = self.runs.values().filter(|run| run.state == State::Queued);
         let queued = queued_runs.clone().count() as u32;
         let free = queued_runs.fold(self.free(), |free, run| free.minus(run.needs));
+        let free = self.offered(now, free);
         let info = self.worker.as_ref().map(|worker| worker.info.clone());
         let large_change = info
             .as_ref()
--- a/crates/core/src/pool/driver/starts.rs
+++ b/crates/core/src/pool/driver/starts.rs
@@ -22,6 +22,7 @@
         out: &mut Vec<Action>,
     ) {
         let run = start.run;
+        self.ahead.note_start(start.needs);
         if self.runs.contains_key(&run) {
             return;
         }
@@ -45,6 +46,7 @@
         } else {
             self.start_queued(now, out);
         }
+        self.use_reservation(run.task, out);
     }
 
     /// Stops the other runs of the same task.
@@ -68,11 +70,16 @@
         }
         loop {
             let free = self.free();
+            let gate = self.gate(now);
+            let admitted = |id: &RunId, run: &Run| {
+                let longest = || self.ahead.longest(run.estimate);
+                gate.is_none_or(|gate| gate.admits(*id, run.needs, longest()))
+            };
             let ready = |run: &Run| run.state == State::Queued && run.start_at <= now;
             let next = self
                 .runs
                 .iter()
-                .filter(|(_, run)| ready(run) && run.needs.fits(free))
+                .filter(|(id, run)| ready(run) && run.needs.fits(free) && admitted(id, run))
                 .min_by_key(|(_, run)| run.due)
                 .map(|(id, _)| *id);
             let Some(run) = next else { break };
@@ -81,6 +88,7 @@
             };
             self.send_start(now, run, clock, out);
         }
+        self.announce_ready(now, out);
         self.refuse_overdue(now, out);
     }
 
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -1,5 +1,6 @@
 //! The workers known to one entry: free capacity, speed and health.
 
+mod ahead;
 mod choice;
 
 use std::time::Duration;
@@ -8,9 +9,11 @@
 
 use super::Uptime;
 use super::job::{Resources, Step};
+use super::lookahead::Forecast;
 use super::msg::{CapacityReport, WorkerInfo};
 use crate::ids::Name;
 
+pub use ahead::Prospect;
 pub use choice::{Choice, Need};
 
 /// Minimum share of failed runs, 0 to 1, for a worker to be ejected. Below half of it the ejection
@@ -63,6 +66,8 @@
     refusals: u32,
     /// Time before which it gets no runs because of such a refusal.
     avoid_until: Uptime,
+    /// Latest forecast of its room, and when it arrived.
+    forecast: Option<(Uptime, Forecast)>,
 }
 
 impl Worker {
@@ -97,6 +102,8 @@
     workers: IndexMap<Name, Worker>,
     /// Median ratio of run time to estimate, by pool.
     medians: IndexMap<Name, f64>,
+    /// Needs of the usual large task, by pool, where tasks differ in size.
+    large_needs: IndexMap<Name, Resources>,
     /// Capacities and labels of the workers of all agents by the member list, linked or not.
     offers: Vec<WorkerInfo>,
     /// Workers that have gained capacity, or accept runs again, since the last
@@ -138,7 +145,9 @@
             out_of_capacity: false,
             refusals: 0,
             avoid_until: now,
+            forecast: None,
         });
+        worker.forecast = None;
         worker.down_since = None;
         worker.starts_sent = 0;
         worker.unreported.clear();
--- a/crates/core/src/pool/fleet/choice.rs
+++ b/crates/core/src/pool/fleet/choice.rs
@@ -16,6 +16,11 @@
 /// a slow worker go there when the fast ones are nearly full, which leaves the fast ones to other
 /// tasks.
 const UTILIZATION_WEIGHT: f64 = 1.2;
+/// Utilization that a worker counts as having for a small task that would leave room for fewer large
+/// tasks there. With [`UTILIZATION_WEIGHT`], this exceeds a full worker's score by just over
+/// [`JITTER`], so that a worker of the same speed with other room comes first and a much slower one
+/// does not.
+const SPLITTING_UTILIZATION: f64 = 1.25;
 /// Share of the time to its aim within which a task must be expected to end on a worker.
 const IN_TIME_SHARE: f64 = 0.97;
 /// Maximum number of workers compared at first. Sampling keeps entries from all sending to the same
@@ -111,6 +116,7 @@
         I: Iterator<Item = (&'a Name, &'a Worker)>,
     {
         let median = self.median_factor(need.pool);
+        let large = self.large_needs_for(need);
         let mut best: Option<(f64, &Name, &Worker)> = None;
         for (name, worker) in candidates {
             if !worker.accepts_runs(now) || !worker.can_run(now, need) || !allowed(name) {
@@ -125,7 +131,7 @@
                 continue;
             }
             let jitter = 1.0 + JITTER * rng.f64();
-            let score = factor / median * worker.score_factor() * jitter;
+            let score = factor / median * worker.score_factor(need.step.needs, large) * jitter;
             if best.is_none_or(|(least, ..)| score < least) {
                 best = Some((score, name, worker));
             }
@@ -140,10 +146,24 @@
 }
 
 impl Worker {
+    /// Returns whether it accepts runs, has the pool and label for the task and is not ejected.
+    pub(super) fn may_start(&self, now: Uptime, need: Need<'_>) -> bool {
+        self.accepts_runs(now) && self.suits(now, need)
+    }
+
+    /// Returns the expected run time of a task on this worker.
+    pub(super) fn expected(&self, step: &Step) -> Duration {
+        scaled(step.estimate, self.expected_run_factor(step))
+    }
+
     /// Returns whether it has the free capacity, pool and label for the task and is not ejected.
     fn can_run(&self, now: Uptime, need: Need<'_>) -> bool {
-        need.step.needs.fits(self.free())
-            && self.serves(need.pool)
+        need.step.needs.fits(self.free()) && self.suits(now, need)
+    }
+
+    /// Returns whether it has the pool and label for the task and is not ejected.
+    fn suits(&self, now: Uptime, need: Need<'_>) -> bool {
+        self.serves(need.pool)
             && need.step.label.as_ref().is_none_or(|l| self.has_label(l))
             && self.may_be_tried(now)
     }
@@ -162,13 +182,18 @@
         (self.run_factor * rack_factor).min(MAX_RUN_FACTOR)
     }
 
-    /// Returns the factor, at least 1, by which failures and utilization worsen its score.
-    fn score_factor(&self) -> f64 {
+    /// Returns the factor, at least 1, by which failures and utilization worsen its score. `large` are
+    /// the needs of the large tasks for which room is to be left.
+    fn score_factor(&self, needs: Resources, large: Option<Resources>) -> f64 {
         let capacity = self
             .info
             .as_ref()
             .map_or(1, |info| info.capacity.cpu_milli.max(1));
-        let utilization = 1.0 - f64::from(self.free().cpu_milli) / f64::from(capacity);
+        let utilization = match large.map(|large| self.beside_large(needs, large)) {
+            Some(None) => SPLITTING_UTILIZATION,
+            Some(Some(beside)) => 1.0 - f64::from(beside) / f64::from(capacity),
+            None => 1.0 - f64::from(self.free().cpu_milli) / f64::from(capacity),
+        };
         let failing = 1.0 + FAILURE_WEIGHT * f64::from(self.report.failing);
         failing * (1.0 + UTILIZATION_WEIGHT * utilization * utilization)
     }
--- a/crates/core/src/pool/job.rs
+++ b/crates/core/src/pool/job.rs
@@ -103,6 +103,32 @@
             && self.accelerators <= available.accelerators
     }
 
+    /// Returns the largest share of a resource of `capacity`; above 1 if it does not fit.
+    pub fn share_of(self, capacity: Self) -> f64 {
+        let share = |amount: u32, of: u32| f64::from(amount) / f64::from(of.max(1));
+        share(self.cpu_milli, capacity.cpu_milli)
+            .max(share(self.memory_mb, capacity.memory_mb))
+            .max(share(self.accelerators, capacity.accelerators))
+    }
+
+    /// Returns the smaller amount of each resource.
+    #[must_use]
+    pub fn smallest(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// Returns how many times it fits into `available`.
+    pub fn times_in(self, available: Self) -> u32 {
+        let times = |amount: u32, of: u32| of.checked_div(amount).unwrap_or(u32::MAX);
+        times(self.cpu_milli, available.cpu_milli)
+            .min(times(self.memory_mb, available.memory_mb))
+            .min(times(self.accelerators, available.accelerators))
+    }
+
     /// Returns the sum of each resource, saturating.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -6,6 +6,7 @@
 mod open_job;
 mod peers;
 mod place;
+mod reserve;
 mod runs;
 
 use std::collections::BTreeSet;
@@ -22,6 +23,7 @@
 use load::PoolLoad;
 use open_job::{Hold, OpenJob, Rank, Task, TaskState, Tier};
 use peers::YieldRequest;
+use reserve::Reservations;
 
 use super::catalog::Queue;
 use super::fleet::Fleet;
@@ -80,6 +82,7 @@
     /// Work sent recently, by pool.
     loads: IndexMap<Name, PoolLoad>,
     next_ranking: Uptime,
+    reservations: Reservations,
     last_observed: Uptime,
     rng: Rng,
 }
@@ -104,6 +107,7 @@
             untried: Vec::new(),
             loads: IndexMap::new(),
             next_ranking: now,
+            reservations: Reservations::default(),
             last_observed: now,
             rng,
         }
@@ -396,6 +400,7 @@
         self.settle_cancels(now, out);
         self.answer_overdue(now, out);
         self.place_all(now, out);
+        self.reserve(now, out);
     }
 
     /// Answers jobs whose deadline has passed, and those not started whose deadline is nearer than
--- a/crates/core/src/pool/scheduler/note.rs
+++ b/crates/core/src/pool/scheduler/note.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::super::fleet::Choice;
-use super::super::job::{EndEvidence, JobId, RunEnd, RunId};
+use super::super::job::{EndEvidence, JobId, Resources, RunEnd, RunId, TaskId};
 use super::super::msg::{NotStarted, Peer, ToAgent};
 use super::CancelAnswer;
 use crate::ids::Name;
@@ -134,6 +134,26 @@
         /// Why it was not started.
         reason: NotStarted,
     },
+    /// An agent is asked to reserve room for a large waiting task.
+    Reserving {
+        /// The task.
+        task: TaskId,
+        /// The worker.
+        worker: Name,
+        /// What the task needs.
+        needs: Resources,
+        /// Expected time until the worker has the room.
+        after: Duration,
+    },
+    /// A reservation has ended.
+    ReservationEnded {
+        /// The task.
+        task: TaskId,
+        /// The worker.
+        worker: Name,
+        /// Why.
+        why: &'static str,
+    },
     /// An agent was told to stop a run so that its task starts again on another worker.
     Moved {
         /// The run.
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -1,11 +1,11 @@
 //! Placement of waiting tasks on workers.
 
 use super::super::fleet::Need;
-use super::super::job::Resources;
+use super::super::job::{Resources, Step, TaskId};
 use super::super::msg::{Start, ToAgent};
 use super::super::reach::Shortage;
 use super::super::{Uptime, millis};
-use super::{Action, Duration, JobId, Name, Note, Placed, Rank, Scheduler, TaskState, Tier};
+use super::{Action, Duration, JobId, Name, Note, OpenJob, Placed, Rank, Scheduler, TaskState, Tier};
 
 /// Number of jobs that found no worker after which a pass over all waiting jobs ends; the rest wait
 /// for the next pass.
@@ -26,8 +26,10 @@
 
 /// The workers considered for a placement.
 #[derive(Clone, Copy)]
-enum Candidates<'a> {
+pub(super) enum Candidates<'a> {
     All,
+    /// Only this one, which keeps room for the task.
+    Reserved(TaskId, &'a Name),
     /// Only these: no other worker has gained capacity since the job was last tried.
     Freed(&'a [Name]),
 }
@@ -125,7 +127,7 @@
     ///
     /// `most_free` is an upper bound of each resource that is free on one of the workers
     /// considered.
-    fn place_job(
+    pub(super) fn place_job(
         &mut self,
         now: Uptime,
         id: JobId,
@@ -140,6 +142,10 @@
             if !job.is_ready(&job.tasks[i]) {
                 continue;
             }
+            if matches!(candidates, Candidates::Reserved(id, _) if id != job.run(&job.tasks[i]).task)
+            {
+                continue;
+            }
             let needs = job.step(&job.tasks[i]).needs;
             if !needs.fits(most_free) {
                 missed = Some(needs);
@@ -147,16 +153,7 @@
             }
             let step = job.step(&job.tasks[i]).clone();
             let step_index = job.tasks[i].step;
-            let count_on_worker = |name: &Name| {
-                let placed = job.tasks.iter().filter(|task| {
-                    task.step == step_index
-                        && matches!(&task.state, TaskState::Sent { worker, .. } if worker == name)
-                });
-                placed.count()
-            };
-            let allowed = |name: &Name| {
-                step.per_worker == 0 || count_on_worker(name) < usize::from(step.per_worker)
-            };
+            let allowed = |name: &Name| job.may_add_to(&step, step_index, name);
             let in_time = (job.rank.0 < Tier::Late && job.rank.0 != Tier::Started)
                 .then(|| job.aim.saturating_sub(now));
             let need = Need {
@@ -170,6 +167,10 @@
                     self.fleet
                         .choose_on(now, need, names, allowed, &mut self.rng)
                 }
+                Candidates::Reserved(_, name) => {
+                    let choice = self.fleet.choose_reserved(now, need, name);
+                    choice.filter(|choice| allowed(&choice.worker))
+                }
             };
             let Some(choice) = choice else {
                 missed = Some(needs);
@@ -185,6 +186,8 @@
             job.starts += 1;
             let run = job.run(&job.tasks[i]);
             self.fleet.start_sent(now, &choice.worker, step.needs);
+            self.reservations
+                .note_placed(&job.queue.pool, step.needs);
             let work = step.estimate.as_secs_f64() * f64::from(step.needs.cpu_milli);
             let load = self.loads.entry(job.queue.pool.clone()).or_default();
             load.add(now, &job.queue.name, work);
@@ -260,3 +263,17 @@
         }
     }
 }
+
+impl OpenJob {
+    /// Returns whether the worker may be given a further task of the step.
+    pub(super) fn may_add_to(&self, step: &Step, index: u16, name: &Name) -> bool {
+        let is_there = |state: &TaskState| matches!(state, TaskState::Sent { worker, .. } if worker == name);
+        let count = || {
+            let tasks = self.tasks.iter();
+            tasks
+                .filter(|task| task.step == index && is_there(&task.state))
+                .count()
+        };
+        step.per_worker == 0 || count() < usize::from(step.per_worker)
+    }
+}
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -92,7 +92,12 @@
             } => {
                 self.on_behind(now, name, run, (ran_ms, left_ms), out);
             }
-            ToEntry::Forecast(_) | ToEntry::Reserved { .. } => {}
+            ToEntry::Forecast(forecast) => self.fleet.on_forecast(now, name, forecast),
+            ToEntry::Reserved {
+                task,
+                granted,
+                ready,
+            } => self.on_reserved(now, name, task, (granted, ready), out),
         }
     }
 
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -42,6 +42,19 @@
         &["answer"],
     )
 });
+static RESERVATIONS: LazyLock<IntCounter> = LazyLock::new(|| {
+    metrics::counter(
+        "rw_pooled_reservations_total",
+        "Reservations of room asked for",
+    )
+});
+static RESERVATIONS_ENDED: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_reservations_ended_total",
+        "Ended reservations of room by reason",
+        &["why"],
+    )
+});
 static MOVES: LazyLock<IntCounter> =
     LazyLock::new(|| metrics::counter("rw_pooled_moves_total", "Runs stopped to start elsewhere"));
 
@@ -116,6 +129,20 @@
             log::info!(run:% = run, worker:% = worker, left_ms:? = left_ms,
                 fresh_ms:? = fresh.map(ms); "run stopped to restart on another worker");
         }
+        Note::Reserving {
+            task,
+            worker,
+            needs,
+            after,
+        } => {
+            RESERVATIONS.inc();
+            log::info!(task:% = task, worker:% = worker, cpu = needs.cpu_milli,
+                memory_mb = needs.memory_mb, after_ms = ms(*after); "reserving room for a large task");
+        }
+        Note::ReservationEnded { task, worker, why } => {
+            RESERVATIONS_ENDED.with_label_values(&[why]).inc();
+            log::info!(task:% = task, worker:% = worker, why = why; "reservation ended");
+        }
         Note::Answered {
             job,
             queue,
@@ -232,6 +259,7 @@
     let (conns, refused) = net.counts();
     set("open_jobs", scheduler.open_jobs());
     set("ejected_workers", scheduler.fleet().ejected());
+    set("reservations", scheduler.reservations());
     set("connections", conns);
     set("connections_refused", refused as usize);
 }
