--- a/crates/core/src/pool/driver/owners.rs
+++ b/crates/core/src/pool/driver/owners.rs
@@ -114,7 +114,7 @@
             }
             ToAgent::Resume { runs } => self.on_resume(now, &owner, runs, out),
             ToAgent::Waiting { tasks } => entry.waiting_jobs = tasks,
-            ToAgent::Reserve(wanted) => self.on_reserve(now, owner, wanted, out),
+            ToAgent::Reserve(wanted) => self.on_reserve(now, &owner, wanted, out),
             ToAgent::Unreserve { task } => self.on_unreserve(now, &owner, task, out),
         }
         self.request_list(now, out);
--- a/crates/core/src/pool/driver/reservations.rs
+++ b/crates/core/src/pool/driver/reservations.rs
@@ -7,7 +7,7 @@
 
 use super::super::Uptime;
 use super::super::job::{Resources, RunId, TaskId};
-use super::super::lookahead::{Forecast, Ratios, RESERVATION_LEASE, Reservation, Sizes};
+use super::super::lookahead::{Forecast, RESERVATION_LEASE, Ratios, Reservation, Sizes};
 use super::super::msg::ToEntry;
 use super::{Action, Driver, Duration, Name, Note, Run, State};
 use crate::ids::NodeRef;
@@ -22,6 +22,9 @@
 const MAX_SLIPS: u8 = 2;
 /// Margin of the promised time; a run that ends this much later is no sign of a wrong forecast.
 const PROMISE_MARGIN: Duration = Duration::from_millis(50);
+/// Expected time until the reserved room is free at which the owner is told, so that the start has
+/// arrived by then: time for a message each way.
+const READY_AHEAD: Duration = Duration::from_millis(20);
 /// Share of its run time so far that a run which exceeds its expected time takes at least longer.
 const OVERDUE_SHARE: f64 = 0.2;
 /// Progress in percent from which the rate of progress tells more of the end than the estimate.
@@ -165,12 +168,12 @@
     pub(super) fn on_reserve(
         &mut self,
         now: Uptime,
-        owner: NodeRef,
+        owner: &NodeRef,
         wanted: Reservation,
         out: &mut Vec<Action>,
     ) {
         let lease = Duration::from_millis(wanted.lease_ms.into()).min(RESERVATION_LEASE);
-        let is_own = |held: &&mut Held| held.task == wanted.task && held.owner == owner;
+        let is_own = |held: &&mut Held| held.task == wanted.task && held.owner == *owner;
         if let Some(held) = self.ahead.held.as_mut().filter(is_own) {
             held.lease_until = now + lease;
             return;
@@ -212,7 +215,7 @@
             granted,
             ready: false,
         };
-        self.send(&owner, reply, out);
+        self.send(owner, reply, out);
         self.announce_ready(now, out);
     }
 
@@ -231,10 +234,12 @@
         }
     }
 
-    /// Ends the reservation of a task whose run has arrived.
+    /// Ends the reservation of a task unless its run is queued.
     pub(super) fn use_reservation(&mut self, task: TaskId, out: &mut Vec<Action>) {
+        let mut runs = self.runs.iter();
+        let is_queued = runs.any(|(id, run)| id.task == task && run.state == State::Queued);
         let held = self.ahead.held.as_ref();
-        if held.is_some_and(|held| held.task == task) {
+        if !is_queued && held.is_some_and(|held| held.task == task) {
             self.ahead.held = None;
             let why = "its run arrived";
             out.push(Action::Note(Note::ReservationEnded { task, why }));
@@ -289,13 +294,14 @@
         }
     }
 
-    /// Tells the owner of the reservation once that its room is free.
+    /// Tells the owner of the reservation once that its room is free or is about to be.
     pub(super) fn announce_ready(&mut self, now: Uptime, out: &mut Vec<Action>) {
-        let free = self.free();
+        let is_due = |gate: Gate| gate.due <= READY_AHEAD;
+        let is_due = self.gate(now).is_some_and(is_due);
         let Some(held) = &mut self.ahead.held else {
             return;
         };
-        if held.ready || !held.needs.fits(free) || now >= held.lease_until {
+        if held.ready || !is_due || now >= held.lease_until {
             return;
         }
         held.ready = true;
--- a/crates/core/src/pool/driver/starts.rs
+++ b/crates/core/src/pool/driver/starts.rs
@@ -129,6 +129,7 @@
         };
         self.last_renewal = now;
         self.call(now, call, self.call_timeout(), out);
+        self.use_reservation(id.task, out);
     }
 
     /// Refuses the queued runs whose maximum queue time has passed.
@@ -143,6 +144,7 @@
             .collect();
         for run in overdue {
             self.refuse(run, NotStarted::NoRoom, out);
+            self.use_reservation(run.task, out);
         }
     }
 
--- a/crates/core/src/pool/msg.rs
+++ b/crates/core/src/pool/msg.rs
@@ -166,14 +166,14 @@
     },
     /// Room that the worker is expected to have later.
     Forecast(Forecast),
-    /// Reply to [`ToAgent::Reserve`]; also sent when the reserved room becomes free and when the
+    /// Reply to [`ToAgent::Reserve`]; also sent when the reserved room is about to be free and when the
     /// reservation ends.
     Reserved {
         /// The task.
         task: TaskId,
         /// Whether the room is reserved.
         granted: bool,
-        /// Whether the reserved room is free, so that the task can be started.
+        /// Whether the reserved room is free or about to be, so that the task can be sent.
         ready: bool,
     },
 }
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -5,7 +5,9 @@
 use super::super::msg::{Start, ToAgent};
 use super::super::reach::Shortage;
 use super::super::{Uptime, millis};
-use super::{Action, Duration, JobId, Name, Note, OpenJob, Placed, Rank, Scheduler, TaskState, Tier};
+use super::{
+    Action, Duration, JobId, Name, Note, OpenJob, Placed, Rank, Scheduler, TaskState, Tier,
+};
 
 /// Number of jobs that found no worker after which a pass over all waiting jobs ends; the rest wait
 /// for the next pass.
@@ -16,6 +18,9 @@
 /// Time in milliseconds that a run may wait at its agent for capacity while jobs wait at the entry.
 /// With a longer time it would miss capacity that other workers free meanwhile.
 const MAX_AGENT_WAIT_MS: u32 = 60;
+/// As [`MAX_AGENT_WAIT_MS`], for a run whose room is reserved and about to be free; within the lease
+/// of the reservation.
+const MAX_RESERVED_WAIT_MS: u32 = 150;
 /// Time without waiting jobs after which agents are told that none waits. On a nearly full pool,
 /// jobs start and stop waiting up to 140 times a second; without the delay, each would cost two
 /// messages to every agent.
@@ -55,6 +60,7 @@
         for rank in ranks {
             self.place_job(now, rank.2, Candidates::All, most_free, out);
         }
+        self.reserve(now, out);
         self.announce_waiting(now, out);
     }
 
@@ -185,9 +191,14 @@
             let waited = now.saturating_sub(task.waiting_since);
             job.starts += 1;
             let run = job.run(&job.tasks[i]);
-            self.fleet.start_sent(now, &choice.worker, step.needs);
+            let taken = match candidates {
+                // The reported room leaves out what is reserved.
+                Candidates::Reserved(..) => Resources::default(),
+                Candidates::All | Candidates::Freed(_) => step.needs,
+            };
+            self.fleet.start_sent(now, &choice.worker, taken);
             self.reservations
-                .note_placed(&job.queue.pool, step.needs);
+                .note_placed(&job.queue.pool, step.needs, waited);
             let work = step.estimate.as_secs_f64() * f64::from(step.needs.cpu_milli);
             let load = self.loads.entry(job.queue.pool.clone()).or_default();
             load.add(now, &job.queue.name, work);
@@ -196,10 +207,10 @@
                 needs: step.needs,
                 estimate_ms: millis(step.estimate),
                 due_ms: millis(in_time.unwrap_or(LATE_DUE)),
-                max_queue_ms: if self.jobs_left_waiting {
-                    MAX_AGENT_WAIT_MS
-                } else {
-                    0
+                max_queue_ms: match candidates {
+                    Candidates::Reserved(..) => MAX_RESERVED_WAIT_MS,
+                    _ if self.jobs_left_waiting => MAX_AGENT_WAIT_MS,
+                    _ => 0,
                 },
                 payload: job.spec.payload.clone(),
             };
@@ -267,7 +278,8 @@
 impl OpenJob {
     /// Returns whether the worker may be given a further task of the step.
     pub(super) fn may_add_to(&self, step: &Step, index: u16, name: &Name) -> bool {
-        let is_there = |state: &TaskState| matches!(state, TaskState::Sent { worker, .. } if worker == name);
+        let is_there =
+            |state: &TaskState| matches!(state, TaskState::Sent { worker, .. } if worker == name);
         let count = || {
             let tasks = self.tasks.iter();
             tasks
--- a/crates/core/src/pool/scheduler/reserve.rs
+++ b/crates/core/src/pool/scheduler/reserve.rs
@@ -10,17 +10,19 @@
 use super::super::job::{Resources, Step, TaskId};
 use super::super::lookahead::{RENEWAL_INTERVAL, RESERVATION_LEASE, Reservation, Sizes};
 use super::super::msg::ToAgent;
-use super::super::{Uptime, millis};
+use super::super::{Uptime, millis, scaled};
 use super::place::Candidates;
 use super::{Action, Duration, JobId, Name, Note, OpenJob, Scheduler, Tier};
 
 /// Maximum number of reservations of an entry. Each keeps some room idle for a while, so that more
 /// of them would cost small tasks more than large ones gain.
-const MAX_RESERVATIONS: usize = 4;
+const MAX_RESERVATIONS: usize = 8;
 /// Number of waiting jobs among which large tasks are looked for.
 const MAX_EXAMINED: usize = 48;
 /// Time for which a worker is not asked again after its agent refused or ended a reservation.
 const AVOID_TIME: Duration = Duration::from_millis(100);
+/// Smoothing factor of the average time that tasks wait.
+const WAIT_LEARNING_RATE: f64 = 0.02;
 /// Interval between updates of the needs of large tasks.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a reserved room that was reported free must have been used; the message of
@@ -45,6 +47,8 @@
     asked: IndexMap<TaskId, Asked>,
     /// Needs of recent tasks, by pool.
     sizes: IndexMap<Name, Sizes>,
+    /// Moving average of the time that tasks waited, by pool.
+    waits: IndexMap<Name, Duration>,
     /// When the needs of large tasks are next worked out.
     next_update: Uptime,
     /// Workers that are not asked before these times.
@@ -63,8 +67,10 @@
     }
 
     /// Records a task that is sent to a worker of the pool.
-    pub(super) fn note_placed(&mut self, pool: &Name, needs: Resources) {
+    pub(super) fn note_placed(&mut self, pool: &Name, needs: Resources, waited: Duration) {
         self.sizes.entry(pool.clone()).or_default().add(needs);
+        let mean = self.waits.entry(pool.clone()).or_default();
+        *mean = scaled(*mean, 1.0 - WAIT_LEARNING_RATE) + scaled(waited, WAIT_LEARNING_RATE);
     }
 }
 
@@ -137,6 +143,11 @@
         if !is_large || self.reservations.asked.contains_key(&task) {
             return;
         }
+        // Where all tasks wait alike, idle room would only make all of them wait longer.
+        let usual_wait = self.reservations.waits.get(pool).copied();
+        if now < job.waiting_since(task) + usual_wait.unwrap_or_default() {
+            return;
+        }
         let in_time = (job.rank.0 == Tier::InTime).then(|| job.aim.saturating_sub(now));
         let need = Need {
             pool,
@@ -257,6 +268,13 @@
         Some((self.run(task).task, self.step(task)))
     }
 
+    /// Returns since when the task waits.
+    fn waiting_since(&self, id: TaskId) -> Uptime {
+        let mut tasks = self.tasks.iter();
+        let task = tasks.find(|task| (task.step, task.index) == (id.step, id.index));
+        task.map_or(self.arrived, |task| task.waiting_since)
+    }
+
     /// Returns whether the task waits for a worker.
     fn waits(&self, id: TaskId) -> bool {
         let mut tasks = self.tasks.iter();
--- a/crates/core/tests/support/mix.rs
+++ b/crates/core/tests/support/mix.rs
@@ -10,7 +10,6 @@
 use fastrand::Rng;
 use indexmap::IndexMap;
 use rw_core::ids::{Name, NodeRef};
-use rw_core::pool::{PING_EVERY, Uptime};
 use rw_core::pool::catalog::Queue;
 use rw_core::pool::driver::{
     self, Call, Driver, EndedRow, Heartbeat, HeartbeatState, Reply, RunningRow,
@@ -18,11 +17,15 @@
 use rw_core::pool::job::{Job, JobId, Resources, RunEnd, RunId, Step};
 use rw_core::pool::msg::{ToAgent, ToEntry};
 use rw_core::pool::scheduler::{self, Scheduler};
+use rw_core::pool::{PING_EVERY, Uptime};
 
-const STEP: Duration = Duration::from_millis(2);
+const STEP: Duration = Duration::from_millis(1);
 const ENTRY_TICK: Duration = Duration::from_millis(20);
 /// CPU of the workers in thousandths of a core.
-const WORKERS: [u32; 6] = [8_000, 8_000, 8_000, 12_000, 12_000, 16_000];
+const WORKERS: [u32; 16] = [
+    8_000, 8_000, 8_000, 8_000, 8_000, 8_000, 12_000, 12_000, 12_000, 12_000, 12_000, 12_000,
+    16_000, 16_000, 16_000, 16_000,
+];
 /// Needs of jobs; the last of ten is the large one.
 const NEEDS: [u32; 10] = [500, 500, 500, 500, 1000, 1000, 1000, 1000, 1500, 4000];
 /// Time without arrivals at the end, so that what waits is served.
@@ -64,6 +67,23 @@
     pub forecasts: usize,
 }
 
+impl Outcome {
+    /// Adds what came out of another play.
+    pub fn add(&mut self, other: Self) {
+        self.large_waits.extend(other.large_waits);
+        self.small_waits.extend(other.small_waits);
+        self.small_times.extend(other.small_times);
+        self.work += other.work;
+        self.failed += other.failed;
+        self.refused += other.refused;
+        self.reservations += other.reservations;
+        self.forecasts += other.forecasts;
+        for (why, count) in other.ends {
+            *self.ends.entry(why).or_default() += count;
+        }
+    }
+}
+
 /// Returns the value at a quantile.
 pub fn quantile(times: &[Duration], quantile: f64) -> Duration {
     let mut sorted = times.to_vec();
@@ -315,8 +335,7 @@
                 if now <= arrivals_end
                     && let Some(job) = self.jobs.get(&run.task.job)
                 {
-                    self.outcome.work +=
-                        f64::from(job.needs) / 1000.0 * job.run_time.as_secs_f64();
+                    self.outcome.work += f64::from(job.needs) / 1000.0 * job.run_time.as_secs_f64();
                 }
             }
             let answered: Vec<(u64, Call, Uptime)> = agent
@@ -383,18 +402,25 @@
 
     fn send(&mut self, key: (usize, usize, bool), msg: Message) {
         let max = self.mix.max_delay.as_millis() as u64;
-        let at = self.now + STEP + Duration::from_millis(self.rng.u64(0..=max));
+        let at = self.now + Duration::from_millis(self.rng.u64(0..=max));
         let link = self.links.entry(key).or_default();
         let at = link.back().map_or(at, |(last, _)| at.max(*last));
         link.push_back((at, msg));
     }
 
+    /// Takes the first message of a link if it has arrived.
+    fn take_due(&mut self, key: (usize, usize, bool)) -> Option<(Uptime, Message)> {
+        let link = self.links.get_mut(&key)?;
+        let is_due = link.front().is_some_and(|(at, _)| *at <= self.now);
+        is_due.then(|| link.pop_front()).flatten()
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let keys: Vec<(usize, usize, bool)> = self.links.keys().copied().collect();
         for key in keys {
             let (e, a, _) = key;
-            while let Some((_, msg)) = self.links[&key].pop_front_if(|(at, _)| *at <= now) {
+            while let Some((_, msg)) = self.take_due(key) {
                 match msg {
                     Message::ToAgent(msg) => {
                         let mut out = Vec::new();
