--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -129,20 +129,7 @@
             log::info!(run:% = run, worker:% = worker, left_ms:? = left_ms,
                 fresh_ms:? = fresh.map(ms); "run stopped to restart on another worker");
         }
-        Note::Reserving {
-            task,
-            worker,
-            needs,
-            after,
-        } => {
-            RESERVATIONS.inc();
-            log::info!(task:% = task, worker:% = worker, cpu = needs.cpu_milli,
-                memory_mb = needs.memory_mb, after_ms = ms(*after); "reserving room for a large task");
-        }
-        Note::ReservationEnded { task, worker, why } => {
-            RESERVATIONS_ENDED.with_label_values(&[why]).inc();
-            log::info!(task:% = task, worker:% = worker, why = why; "reservation ended");
-        }
+        Note::Reserving { .. } | Note::ReservationEnded { .. } => record_reservation(note),
         Note::Answered {
             job,
             queue,
@@ -189,6 +176,26 @@
     }
 }
 
+fn record_reservation(note: &Note) {
+    match note {
+        Note::Reserving {
+            task,
+            worker,
+            needs,
+            after,
+        } => {
+            RESERVATIONS.inc();
+            log::info!(task:% = task, worker:% = worker, cpu = needs.cpu_milli,
+                memory_mb = needs.memory_mb, after_ms = ms(*after); "reserving room for a large task");
+        }
+        Note::ReservationEnded { task, worker, why } => {
+            RESERVATIONS_ENDED.with_label_values(&[why]).inc();
+            log::info!(task:% = task, worker:% = worker, why = why; "reservation ended");
+        }
+        _ => {}
+    }
+}
+
 fn record_waits(queue: &Name, runs: &[Placed]) {
     let waits = WAITS.with_label_values(&[&**queue]);
     for run in runs {
