--- a/crates/core/src/pool/driver/reservations.rs
+++ b/crates/core/src/pool/driver/reservations.rs
@@ -241,6 +241,7 @@
         let held = self.ahead.held.as_ref();
         if !is_queued && held.is_some_and(|held| held.task == task) {
             self.ahead.held = None;
+            self.ahead.forecasts.clear();
             let why = "its run arrived";
             out.push(Action::Note(Note::ReservationEnded { task, why }));
         }
@@ -250,6 +251,8 @@
         let Some(held) = self.ahead.held.take() else {
             return;
         };
+        // Entries know of no room here while it stood.
+        self.ahead.forecasts.clear();
         let task = held.task;
         out.push(Action::Note(Note::ReservationEnded { task, why }));
         let msg = ToEntry::Reserved {
--- a/crates/core/src/pool/lookahead/sizes.rs
+++ b/crates/core/src/pool/lookahead/sizes.rs
@@ -30,12 +30,16 @@
         self.recent.push_back(needs);
     }
 
-    /// Returns whether a task needs at least [`LARGE_FACTOR`] times the median of recent tasks.
-    pub fn is_large(&self, needs: Resources, capacity: Resources) -> bool {
-        let Some(median) = self.at(0.5, capacity) else {
-            return false;
-        };
-        needs.share_of(capacity) >= LARGE_FACTOR * median.share_of(capacity)
+    /// Returns the share of a worker from which a task is large: [`LARGE_FACTOR`] times that of the
+    /// median of recent tasks. `None` before there are enough of them.
+    pub fn large_share(&self, capacity: Resources) -> Option<f64> {
+        let median = self.at(0.5, capacity)?;
+        Some(LARGE_FACTOR * median.share_of(capacity))
+    }
+
+    fn is_large(&self, needs: Resources, capacity: Resources) -> bool {
+        self.large_share(capacity)
+            .is_some_and(|share| needs.share_of(capacity) >= share)
     }
 
     /// Returns the needs that few recent tasks exceed, if those are large.
--- a/crates/core/src/pool/scheduler/reserve.rs
+++ b/crates/core/src/pool/scheduler/reserve.rs
@@ -19,10 +19,14 @@
 const MAX_RESERVATIONS: usize = 8;
 /// Number of waiting jobs among which large tasks are looked for.
 const MAX_EXAMINED: usize = 48;
+/// Number of large tasks that no worker will have room for, after which a search ends.
+const MAX_MISSES: usize = 2;
 /// Time for which a worker is not asked again after its agent refused or ended a reservation.
 const AVOID_TIME: Duration = Duration::from_millis(100);
 /// Smoothing factor of the average time that tasks wait.
 const WAIT_LEARNING_RATE: f64 = 0.02;
+/// Minimum time between two searches for large waiting tasks, each of which may look at all workers.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(1);
 /// Interval between updates of the needs of large tasks.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a reserved room that was reported free must have been used; the message of
@@ -49,21 +53,34 @@
     sizes: IndexMap<Name, Sizes>,
     /// Moving average of the time that tasks waited, by pool.
     waits: IndexMap<Name, Duration>,
-    /// When the needs of large tasks are next worked out.
+    /// The capacity of a large worker and the share of it from which a task is large, by pool.
+    large_from: IndexMap<Name, (Resources, f64)>,
+    /// When these are next worked out.
     next_update: Uptime,
+    /// When large tasks are next looked for.
+    next_search: Uptime,
     /// Workers that are not asked before these times.
     avoided: IndexMap<Name, Uptime>,
 }
 
 impl Reservations {
-    /// Returns the needs of the usual large task of each pool.
-    fn large_needs(&self, fleet: &Fleet) -> Vec<(Name, Option<Resources>)> {
-        let pools = self.sizes.iter();
-        let needs = pools.map(|(pool, sizes)| {
+    /// Works out which tasks are large, and returns the needs of the usual large task of each pool.
+    fn update(&mut self, now: Uptime, fleet: &Fleet) -> Vec<(Name, Option<Resources>)> {
+        self.next_update = now + UPDATE_INTERVAL;
+        let mut needs = Vec::new();
+        for (pool, sizes) in &self.sizes {
             let capacity = fleet.largest_capacity(pool);
-            (pool.clone(), sizes.usual_large(capacity))
-        });
-        needs.collect()
+            let share = sizes.large_share(capacity).unwrap_or(f64::INFINITY);
+            self.large_from.insert(pool.clone(), (capacity, share));
+            needs.push((pool.clone(), sizes.usual_large(capacity)));
+        }
+        needs
+    }
+
+    /// Returns whether a task with these needs is large.
+    fn is_large(&self, pool: &Name, needs: Resources) -> bool {
+        let from = self.large_from.get(pool);
+        from.is_some_and(|(capacity, share)| needs.share_of(*capacity) >= *share)
     }
 
     /// Records a task that is sent to a worker of the pool.
@@ -94,8 +111,7 @@
         }
         self.give_up_reservations(now, out);
         if now >= self.reservations.next_update {
-            self.reservations.next_update = now + UPDATE_INTERVAL;
-            for (pool, needs) in self.reservations.large_needs(&self.fleet) {
+            for (pool, needs) in self.reservations.update(now, &self.fleet) {
                 self.fleet.set_large_needs(&pool, needs);
             }
         }
@@ -105,17 +121,22 @@
                 out.push(Self::request(*task, asked));
             }
         }
+        if now < self.reservations.next_search {
+            return;
+        }
+        self.reservations.next_search = now + SEARCH_INTERVAL;
         self.reservations.avoided.retain(|_, until| now < *until);
         let ranks = self.waiting.iter().take(MAX_EXAMINED);
         let jobs: Vec<JobId> = ranks
             .filter(|(tier, ..)| matches!(tier, Tier::InTime | Tier::Started))
             .map(|(.., id)| *id)
             .collect();
+        let mut misses = 0;
         for job in jobs {
-            if self.reservations.asked.len() >= MAX_RESERVATIONS {
+            if self.reservations.asked.len() >= MAX_RESERVATIONS || misses >= MAX_MISSES {
                 break;
             }
-            self.reserve_for(now, job, out);
+            misses += usize::from(!self.reserve_for(now, job, out));
         }
     }
 
@@ -128,25 +149,25 @@
         Action::Send(asked.worker.clone(), ToAgent::Reserve(reservation))
     }
 
-    /// Asks for a reservation for the job's first ready task if it is large.
-    fn reserve_for(&mut self, now: Uptime, id: JobId, out: &mut Vec<Action>) {
+    /// Asks for a reservation for the job's first ready task if it is large. Returns `false` if no
+    /// worker will have room for it.
+    fn reserve_for(&mut self, now: Uptime, id: JobId, out: &mut Vec<Action>) -> bool {
         let Some(job) = self.jobs.get(&id) else {
-            return;
+            return true;
         };
         let Some((task, step)) = job.first_ready() else {
-            return;
+            return true;
         };
         let pool = &job.queue.pool;
-        let capacity = self.fleet.largest_capacity(pool);
-        let sizes = self.reservations.sizes.get(pool);
-        let is_large = sizes.is_some_and(|sizes| sizes.is_large(step.needs, capacity));
-        if !is_large || self.reservations.asked.contains_key(&task) {
-            return;
+        if !self.reservations.is_large(pool, step.needs)
+            || self.reservations.asked.contains_key(&task)
+        {
+            return true;
         }
         // Where all tasks wait alike, idle room would only make all of them wait longer.
         let usual_wait = self.reservations.waits.get(pool).copied();
         if now < job.waiting_since(task) + usual_wait.unwrap_or_default() {
-            return;
+            return true;
         }
         let in_time = (job.rank.0 == Tier::InTime).then(|| job.aim.saturating_sub(now));
         let need = Need {
@@ -161,7 +182,7 @@
                 && job.may_add_to(step, task.step, name)
         };
         let Some(prospect) = self.fleet.earliest(now, need, is_free) else {
-            return;
+            return false;
         };
         let asked = Asked {
             worker: prospect.worker.clone(),
@@ -177,6 +198,7 @@
             after: prospect.after,
         }));
         self.reservations.asked.insert(task, asked);
+        true
     }
 
     /// Gives up the reservations of tasks that do not wait any more and of workers that take no runs.
