--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -13,6 +13,7 @@
 mod lists;
 mod note;
 mod owners;
+mod reservations;
 mod speed;
 mod starts;
 mod worker;
@@ -31,6 +32,7 @@
 pub use call::{Call, CallTarget, EndedRow, Reply, RunningRow, StartRefusal};
 use evacuation::DomainState;
 pub use note::Note;
+use reservations::LookAhead;
 use speed::Progress;
 
 pub use worker::{Heartbeat, HeartbeatOutcome, HeartbeatState};
@@ -319,6 +321,8 @@
     domain: DomainState,
     /// Factor on the run time of tasks on a cold worker.
     cold_factor: f32,
+    /// Reserved room and what forecasts are made from.
+    ahead: LookAhead,
 }
 
 impl Driver {
@@ -358,6 +362,7 @@
             draining: false,
             domain: DomainState::Open,
             cold_factor: cold::DEFAULT_FACTOR,
+            ahead: LookAhead::default(),
         }
     }
 
@@ -413,7 +418,9 @@
         self.stop_orphans(now, out);
         self.retry_stops(now, out);
         self.end_cold(now);
+        self.check_reservation(now, out);
         self.start_queued(now, out);
+        self.send_forecasts(now, out);
         self.forget_left_worker(now, out);
         self.identify_candidate(now, out);
         self.request_list(now, out);
@@ -537,6 +544,9 @@
             LEARNING_RATE
         };
         self.failure_rate += rate * (failed - self.failure_rate);
+        if end == RunEnd::Done {
+            self.ahead.note_run_time(run.estimate, ran);
+        }
         if end == RunEnd::Done && !run.pace_counted {
             self.learn_pace(now, run.estimate, ran);
         }
--- a/crates/core/src/pool/driver/owners.rs
+++ b/crates/core/src/pool/driver/owners.rs
@@ -124,7 +124,8 @@
             }
             ToAgent::Resume { runs } => self.on_resume(now, &owner, runs, out),
             ToAgent::Waiting { tasks } => entry.waiting_jobs = tasks,
-            ToAgent::Reserve(_) | ToAgent::Unreserve { .. } => {}
+            ToAgent::Reserve(wanted) => self.on_reserve(now, &owner, wanted, out),
+            ToAgent::Unreserve { task } => self.on_unreserve(now, &owner, task, out),
         }
         self.request_list(now, out);
         self.report(now, out);
@@ -232,6 +233,7 @@
         let queued_runs = self.runs.values().filter(|run| run.state == State::Queued);
         let queued = queued_runs.clone().count() as u32;
         let free = queued_runs.fold(self.free(), |free, run| free.minus(run.needs));
+        let free = self.offered(now, free);
         let info = self.worker.as_ref().map(|worker| worker.info.clone());
         let cold_until = self.worker.as_ref().and_then(|worker| worker.cold_until);
         let large_change = info
@@ -289,7 +291,8 @@
         self.promises.set_entries(now, entries);
         let capacity = self.worker.as_ref()?.info.capacity;
         // With several runs, one ends within the time that a start may be queued.
-        let may_queue = queued == 0 && self.runs.len() >= MIN_RUNS_TO_QUEUE;
+        let may_queue =
+            queued == 0 && self.runs.len() >= MIN_RUNS_TO_QUEUE && !self.ahead.is_reserved();
         self.promises.allot(now, free, capacity, may_queue)
     }
 }
--- a/crates/core/src/pool/driver/starts.rs
+++ b/crates/core/src/pool/driver/starts.rs
@@ -24,6 +24,7 @@
         out: &mut Vec<Action>,
     ) {
         let run = start.run;
+        self.ahead.note_start(start.needs);
         if self.runs.contains_key(&run) {
             return;
         }
@@ -50,6 +51,7 @@
         } else {
             self.start_queued(now, out);
         }
+        self.use_reservation(run.task, out);
     }
 
     /// Stops the other runs of the same task.
@@ -73,11 +75,16 @@
         }
         loop {
             let free = self.free();
+            let gate = self.gate(now);
+            let admitted = |id: &RunId, run: &Run| {
+                let longest = || self.ahead.longest(run.estimate);
+                gate.is_none_or(|gate| gate.admits(*id, run.needs, longest()))
+            };
             let ready = |run: &Run| run.state == State::Queued && run.start_at <= now;
             let next = self
                 .runs
                 .iter()
-                .filter(|(_, run)| ready(run) && run.needs.fits(free))
+                .filter(|(id, run)| ready(run) && run.needs.fits(free) && admitted(id, run))
                 .min_by_key(|(_, run)| run.due)
                 .map(|(id, _)| *id);
             let Some(run) = next else { break };
@@ -86,6 +93,7 @@
             };
             self.send_start(now, run, clock, out);
         }
+        self.announce_ready(now, out);
         self.refuse_overdue(now, out);
     }
 
@@ -126,6 +134,7 @@
         };
         self.last_renewal = now;
         self.call(now, call, self.call_timeout(), out);
+        self.use_reservation(id.task, out);
     }
 
     /// Refuses the queued runs whose maximum queue time has passed.
@@ -140,6 +149,7 @@
             .collect();
         for run in overdue {
             self.refuse(run, NotStarted::NoRoom, out);
+            self.use_reservation(run.task, out);
         }
     }
 
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -1,5 +1,6 @@
 //! The workers known to one entry: free capacity, speed and health.
 
+mod ahead;
 mod choice;
 mod cold;
 mod evacuated;
@@ -11,9 +12,11 @@
 
 use super::Uptime;
 use super::job::{Resources, Step};
+use super::lookahead::Forecast;
 use super::msg::{CapacityReport, WorkerInfo};
 use crate::ids::Name;
 
+pub use ahead::Prospect;
 pub use choice::{Basis, Choice, Need};
 pub use room::Room;
 
@@ -73,6 +76,8 @@
     refusals: u32,
     /// Time before which it gets no runs because of such a refusal.
     avoid_until: Uptime,
+    /// Latest forecast of its room, and when it arrived.
+    forecast: Option<(Uptime, Forecast)>,
 }
 
 impl Worker {
@@ -121,6 +126,8 @@
     workers: IndexMap<Name, Worker>,
     /// Median ratio of run time to estimate, by pool.
     medians: IndexMap<Name, f64>,
+    /// Needs of the usual large task, by pool, where tasks differ in size.
+    large_needs: IndexMap<Name, Resources>,
     /// Capacities and labels of the workers of all agents by the member list, linked or not, but for
     /// those in evacuated failure domains.
     offers: Vec<WorkerInfo>,
@@ -141,6 +148,7 @@
         Self {
             workers: IndexMap::new(),
             medians: IndexMap::new(),
+            large_needs: IndexMap::new(),
             offers: Vec::new(),
             evacuated_offers: Vec::new(),
             evacuated: IndexSet::new(),
@@ -187,7 +195,9 @@
             out_of_capacity: false,
             refusals: 0,
             avoid_until: now,
+            forecast: None,
         });
+        worker.forecast = None;
         worker.down_since = None;
         worker.starts_sent = 0;
         worker.unreported.clear();
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -8,6 +8,7 @@
 mod open_job;
 mod peers;
 mod place;
+mod reserve;
 mod runs;
 
 use std::collections::BTreeSet;
@@ -25,6 +26,7 @@
 use load::PoolLoad;
 use open_job::{Hold, OpenJob, Rank, Task, TaskState};
 use peers::YieldRequest;
+use reserve::Reservations;
 
 use super::catalog::Queue;
 use super::fleet::{Basis, Fleet};
@@ -89,6 +91,7 @@
     /// Queues of the catalogue in force.
     queues: QueueRanks,
     next_ranking: Uptime,
+    reservations: Reservations,
     last_observed: Uptime,
     rng: Rng,
 }
@@ -115,6 +118,7 @@
             shares: Shares::default(),
             queues: QueueRanks::default(),
             next_ranking: now,
+            reservations: Reservations::default(),
             last_observed: now,
             rng,
         }
@@ -430,6 +434,7 @@
         self.place_all(now, out);
         self.refuse_hopeless(now, out);
         self.report_load(now, out);
+        self.reserve(now, out);
     }
 
     /// Releases jobs held for an entry whose runs have certainly ended.
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -1,12 +1,14 @@
 //! Placement of waiting tasks on workers.
 
 use super::super::fleet::Need;
-use super::super::job::Resources;
+use super::super::job::{Resources, Step, TaskId};
 use super::super::msg::{Start, ToAgent};
 use super::super::overload::due_time;
 use super::super::reach::Shortage;
 use super::super::{Uptime, millis};
-use super::{Action, Duration, JobId, Name, Note, Placed, Rank, Scheduler, TaskState, Tier};
+use super::{
+    Action, Duration, JobId, Name, Note, OpenJob, Placed, Rank, Scheduler, TaskState, Tier,
+};
 
 /// Number of jobs that found no worker after which a pass over all waiting jobs ends; the rest wait
 /// for the next pass.
@@ -17,6 +19,9 @@
 /// Time in milliseconds that a run may wait at its agent for capacity while jobs wait at the entry.
 /// With a longer time it would miss capacity that other workers free meanwhile.
 const MAX_AGENT_WAIT_MS: u32 = 60;
+/// As [`MAX_AGENT_WAIT_MS`], for a run whose room is reserved and about to be free; within the lease
+/// of the reservation.
+const MAX_RESERVED_WAIT_MS: u32 = 150;
 /// Time without waiting jobs after which agents are told that none waits. On a nearly full pool,
 /// jobs start and stop waiting up to 140 times a second; without the delay, each would cost two
 /// messages to every agent.
@@ -26,6 +31,8 @@
 #[derive(Clone, Copy)]
 pub(super) enum Candidates<'a> {
     All,
+    /// Only this one, which keeps room for the task.
+    Reserved(TaskId, &'a Name),
     /// Only these: no other worker has gained capacity since the job was last tried.
     Freed(&'a [Name]),
 }
@@ -52,6 +59,7 @@
             self.place_job(now, rank.2, Candidates::All, most_free, out);
         }
         self.refuse_hopeless(now, out);
+        self.reserve(now, out);
         self.announce_waiting(now, out);
     }
 
@@ -139,6 +147,10 @@
             if !job.is_ready(&job.tasks[i]) {
                 continue;
             }
+            if matches!(candidates, Candidates::Reserved(id, _) if id != job.run(&job.tasks[i]).task)
+            {
+                continue;
+            }
             let needs = job.step(&job.tasks[i]).needs;
             if !needs.fits(most_free) {
                 missed = Some(needs);
@@ -146,16 +158,7 @@
             }
             let step = job.step(&job.tasks[i]).clone();
             let step_index = job.tasks[i].step;
-            let count_on_worker = |name: &Name| {
-                let placed = job.tasks.iter().filter(|task| {
-                    task.step == step_index
-                        && matches!(&task.state, TaskState::Sent { worker, .. } if worker == name)
-                });
-                placed.count()
-            };
-            let allowed = |name: &Name| {
-                step.per_worker == 0 || count_on_worker(name) < usize::from(step.per_worker)
-            };
+            let allowed = |name: &Name| job.may_add_to(&step, step_index, name);
             let in_time = job.rank.0.is_in_time().then(|| job.aim.saturating_sub(now));
             let need = Need {
                 pool: &job.queue.pool,
@@ -169,6 +172,10 @@
                     self.fleet
                         .choose_on(now, need, names, allowed, &mut self.rng)
                 }
+                Candidates::Reserved(_, name) => {
+                    let choice = self.fleet.choose_reserved(now, need, name);
+                    choice.filter(|choice| allowed(&choice.worker))
+                }
             };
             let Some(choice) = choice else {
                 missed = Some(needs);
@@ -184,7 +191,14 @@
             let waited = now.saturating_sub(task.waiting_since);
             job.starts += 1;
             let run = job.run(&job.tasks[i]);
-            self.fleet.start_sent(now, &choice.worker, step.needs);
+            let taken = match candidates {
+                // The reported room leaves out what is reserved.
+                Candidates::Reserved(..) => Resources::default(),
+                Candidates::All | Candidates::Freed(_) => step.needs,
+            };
+            self.fleet.start_sent(now, &choice.worker, taken);
+            self.reservations
+                .note_placed(&job.queue.pool, step.needs, waited);
             let work = step.work();
             let load = self.loads.entry(job.queue.pool.clone()).or_default();
             load.sent(now, &job.queue.name, work);
@@ -196,10 +210,12 @@
                 needs: step.needs,
                 estimate_ms: millis(step.estimate),
                 due_ms: millis(due_time(job.rank.0, job.aim.saturating_sub(now))),
-                max_queue_ms: if self.announced_waiting > 0 && job.rank.0 != Tier::Deferred {
-                    MAX_AGENT_WAIT_MS
-                } else {
-                    0
+                max_queue_ms: match candidates {
+                    Candidates::Reserved(..) => MAX_RESERVED_WAIT_MS,
+                    _ if self.announced_waiting > 0 && job.rank.0 != Tier::Deferred => {
+                        MAX_AGENT_WAIT_MS
+                    }
+                    _ => 0,
                 },
                 waiting_jobs: self.waiting.len() as u32,
                 payload: job.spec.payload.clone(),
@@ -264,3 +280,18 @@
         }
     }
 }
+
+impl OpenJob {
+    /// Returns whether the worker may be given a further task of the step.
+    pub(super) fn may_add_to(&self, step: &Step, index: u16, name: &Name) -> bool {
+        let is_there =
+            |state: &TaskState| matches!(state, TaskState::Sent { worker, .. } if worker == name);
+        let count = || {
+            let tasks = self.tasks.iter();
+            tasks
+                .filter(|task| task.step == index && is_there(&task.state))
+                .count()
+        };
+        step.per_worker == 0 || count() < usize::from(step.per_worker)
+    }
+}
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -86,6 +86,19 @@
         &["cause"],
     )
 });
+static RESERVATIONS: LazyLock<IntCounter> = LazyLock::new(|| {
+    metrics::counter(
+        "rw_pooled_reservations_total",
+        "Reservations of room asked for",
+    )
+});
+static RESERVATIONS_ENDED: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    metrics::counters(
+        "rw_pooled_reservations_ended_total",
+        "Ended reservations of room by reason",
+        &["why"],
+    )
+});
 static MOVES: LazyLock<IntCounter> =
     LazyLock::new(|| metrics::counter("rw_pooled_moves_total", "Runs stopped to start elsewhere"));
 
@@ -135,6 +148,7 @@
         | Note::RunEnded { .. }
         | Note::RunRefused { .. }
         | Note::Moved { .. } => record_run(note),
+        Note::Reserving { .. } | Note::ReservationEnded { .. } => record_reservation(note),
         Note::Answered {
             job,
             queue,
@@ -221,6 +235,26 @@
     }
 }
 
+fn record_reservation(note: &Note) {
+    match note {
+        Note::Reserving {
+            task,
+            worker,
+            needs,
+            after,
+        } => {
+            RESERVATIONS.inc();
+            log::info!(task:% = task, worker:% = worker, cpu = needs.cpu_milli,
+                memory_mb = needs.memory_mb, after_ms = ms(*after); "reserving room for a large task");
+        }
+        Note::ReservationEnded { task, worker, why } => {
+            RESERVATIONS_ENDED.with_label_values(&[why]).inc();
+            log::info!(task:% = task, worker:% = worker, why = why; "reservation ended");
+        }
+        _ => {}
+    }
+}
+
 fn record_placements(queue: &Name, runs: &[Placed]) {
     let waits = WAITS.with_label_values(&[&**queue]);
     for placed in runs {
@@ -355,6 +389,7 @@
     set("free_cpu_milli", room.free as usize);
     set("promised_cpu_milli", room.promised as usize);
     set("reserved_for_others_cpu_milli", room.reserved as usize);
+    set("reservations", scheduler.reservations());
     set("connections", conns);
     set("connections_refused", refused as usize);
     set("stranger_bytes", net.stranger_bytes());
