No job is refused by its turn while links to further agents may bring room

An entry there knows 36 of 160 workers at first; by these alone a job's turn seemed to come too late while others had room. Change: the reach tells whether further links are expected to bring room (two batches in a row of no use, or no agent left); until then only the older rule for late jobs refuses.

--- a/crates/core/src/pool/reach.rs
+++ b/crates/core/src/pool/reach.rs
@@ -44,6 +44,8 @@
 const CALM_TIME: Duration = Duration::from_secs(1);
 /// Time after which an extra link without runs is closed if there was no shortage.
 const RETENTION: Duration = Duration::from_secs(5);
+/// Number of batches in a row without use after which further links are not expected to bring room.
+const MAX_FUTILE_BATCHES: u32 = 2;
 /// Maximum number of extra links.
 const MAX_EXTRA: usize = 64;
 
@@ -125,6 +127,10 @@
     opened: Option<Opened>,
     next_batch: Uptime,
     pause: Duration,
+    /// Number of batches in a row that have brought no room.
+    futile_batches: u32,
+    /// Whether the last batch found no agent to link.
+    none_left: bool,
     last_shortage: Uptime,
     /// Since when there is a shortage without a break.
     short_since: Option<Uptime>,
@@ -146,6 +152,8 @@
             opened: None,
             next_batch: Uptime::ZERO,
             pause: MIN_PAUSE,
+            futile_batches: 0,
+            none_left: false,
             last_shortage: Uptime::ZERO,
             short_since: None,
         }
@@ -209,6 +217,8 @@
             }
             if now >= self.last_shortage + CALM_TIME {
                 self.pause = MIN_PAUSE;
+                self.futile_batches = 0;
+                self.none_left = false;
             }
             return (!dropped.is_empty()).then_some(dropped);
         };
@@ -221,6 +231,7 @@
         self.next_batch = now + self.pause;
         let batch = self.choose(shortage, fleet, rng);
         self.last_batch = batch.len();
+        self.none_left = batch.is_empty();
         self.opened = (!batch.is_empty()).then_some(Opened {
             cause: Cause::NoWorker,
             links: batch.len(),
@@ -233,6 +244,12 @@
         Some(dropped)
     }
 
+    /// Returns whether links to further agents are not expected to bring room: the last ones brought
+    /// none, or there are no others.
+    pub fn is_exhausted(&self) -> bool {
+        self.none_left || self.futile_batches >= MAX_FUTILE_BATCHES || self.extra.len() >= MAX_EXTRA
+    }
+
     /// Returns the batch that the last [`Reach::tick`] has opened.
     pub fn opened(&self) -> Option<Opened> {
         self.opened
@@ -307,11 +324,13 @@
         let useful = batch
             .filter_map(|name| fleet.get(name))
             .any(|worker| worker.runs > 0 || shortage.needs.fits(worker.free()));
-        self.pause = if useful || self.last_batch == 0 {
-            MIN_PAUSE
+        if useful || self.last_batch == 0 {
+            self.pause = MIN_PAUSE;
+            self.futile_batches = 0;
         } else {
-            (self.pause * 2).min(MAX_PAUSE)
-        };
+            self.pause = (self.pause * 2).min(MAX_PAUSE);
+            self.futile_batches += 1;
+        }
     }
 
     /// Returns agents without a link whose workers suit the task, those in the entry's failure domain
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -76,6 +76,8 @@
     past_attempts: IndexMap<JobId, u32>,
     /// Number of waiting jobs in the last `Waiting` message to the agents.
     announced_waiting: u32,
+    /// Whether the workers that this entry knows are all that it can expect room from.
+    reach_exhausted: bool,
     /// Whether jobs were still waiting after the last placement.
     jobs_left_waiting: bool,
     /// Time of the last placement that left jobs waiting.
@@ -108,6 +110,7 @@
             awaited: IndexMap::new(),
             past_attempts: IndexMap::new(),
             announced_waiting: 0,
+            reach_exhausted: true,
             jobs_left_waiting: false,
             last_waiting: now,
             untried: Vec::new(),
@@ -130,6 +133,12 @@
         self.fleet.set_other_rack_factor(factor);
     }
 
+    /// Sets whether links to further agents are not expected to bring room. Until then, a job whose
+    /// turn seems to come too late by the known workers is not refused.
+    pub fn set_reach_exhausted(&mut self, exhausted: bool) {
+        self.reach_exhausted = exhausted;
+    }
+
     /// Returns the number of jobs that are not answered yet.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len()
--- a/crates/core/src/pool/scheduler/contention.rs
+++ b/crates/core/src/pool/scheduler/contention.rs
@@ -301,7 +301,7 @@
             return false;
         };
         let (room, tier) = (load.view.room, job.rank.0);
-        let wait = if load.gate.is_overloaded() {
+        let wait = if load.gate.is_overloaded() && self.reach_exhausted {
             let run = self.expected_run(job);
             let useful_until = job.useful_until().min(job.deadline);
             let times = Times {
--- a/crates/core/tests/pool_reach.rs
+++ b/crates/core/tests/pool_reach.rs
@@ -238,3 +238,16 @@
     let links = harness.targets().len();
     assert!(links <= 18, "{links} links");
 }
+
+/// Guards against jobs that are refused for lack of room while agents without a link may have some.
+#[test]
+fn a_reach_is_exhausted_only_once_batches_were_of_no_use() {
+    for (has_room, exhausted) in [(true, false), (false, true)] {
+        let mut harness = Harness::new(has_room);
+        let shortage = shortage("p", None);
+        harness.pass(TICK, Some(&shortage));
+        assert!(!harness.reach.is_exhausted(), "no batch was tried");
+        harness.pass(8 * TICK, Some(&shortage));
+        assert_eq!(harness.reach.is_exhausted(), exhausted, "room: {has_room}");
+    }
+}
--- a/crates/entry/src/pooled/links.rs
+++ b/crates/entry/src/pooled/links.rs
@@ -80,10 +80,12 @@
         let by_evacuation = || self.scheduler.shortage_by_evacuation();
         let shortage = self.scheduler.shortage().or_else(by_evacuation);
         let fleet = self.scheduler.fleet();
-        let Some(closing) = self
+        let changed = self
             .reach
-            .tick(now, shortage.as_ref(), fleet, &mut self.rng)
-        else {
+            .tick(now, shortage.as_ref(), fleet, &mut self.rng);
+        self.scheduler
+            .set_reach_exhausted(self.reach.is_exhausted());
+        let Some(closing) = changed else {
             return;
         };
         self.set_targets(now);
