Explains where a job would go without submitting it

Operators could only learn from logs, afterwards, why a job was refused or went to a worker. Scheduler::explain submits the job to a copy of the scheduler, plays three rankings there and reports the outcome with the load of the pool and the candidates of each step. The choice of a worker now takes its requirements from Worker::verdict, which also gives the reason; order, scores and draws are as before.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -18,6 +18,7 @@
 pub mod msg;
 pub mod overload;
 pub mod owners;
+pub mod question;
 pub mod reach;
 pub mod room;
 pub mod scheduler;
--- a/crates/core/src/pool/catalog.rs
+++ b/crates/core/src/pool/catalog.rs
@@ -205,6 +205,12 @@
         Self { by_host }
     }
 
+    /// Returns the queue with this name.
+    pub fn named(&self, name: &str) -> Option<&Arc<Queue>> {
+        let mut queues = self.by_host.values().flatten();
+        queues.find(|queue| &*queue.name == name)
+    }
+
     /// Returns the queue of `host` with the longest path prefix that `path` begins with.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Queue>> {
         let queues = self.by_host.get(host)?;
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod evacuated;
 mod room;
+mod verdict;
 
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 
 pub use choice::{Basis, Choice, Need};
 pub use room::Room;
+pub use verdict::{CandidateRow, WorkerVerdict};
 
 /// Minimum share of failed runs, 0 to 1, for a worker to be ejected. Below half of it the ejection
 /// ends.
@@ -39,7 +41,7 @@
 const REFRESH_INTERVAL: Duration = Duration::from_millis(40);
 
 /// A worker as known to one entry.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Worker {
     /// Its pool, capacity and labels; `None` until its agent has reported them.
     pub info: Option<WorkerInfo>,
@@ -116,7 +118,7 @@
 }
 
 /// All workers known to one entry.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Fleet {
     workers: IndexMap<Name, Worker>,
     /// Median ratio of run time to estimate, by pool.
--- a/crates/core/src/pool/fleet/choice.rs
+++ b/crates/core/src/pool/fleet/choice.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use super::super::Uptime;
 use super::super::job::{Resources, Step};
-use super::super::{Uptime, scaled};
-use super::{Fleet, Worker};
+use super::{Fleet, Worker, WorkerVerdict};
 use crate::ids::Name;
 
 /// Factor on the run time of a task on a worker outside the rack of its data, if none is set.
@@ -17,7 +17,7 @@
 /// tasks.
 const UTILIZATION_WEIGHT: f64 = 1.2;
 /// Share of the time to its aim within which a task must be expected to end on a worker.
-const IN_TIME_SHARE: f64 = 0.97;
+pub(super) const IN_TIME_SHARE: f64 = 0.97;
 /// Maximum number of workers compared at first. Sampling keeps entries from all sending to the same
 /// few best workers, and bounds the cost of a choice in a large cluster.
 const SAMPLE_SIZE: usize = 14;
@@ -154,30 +154,23 @@
         I: Iterator<Item = (&'a Name, &'a Worker)>,
     {
         let median = self.median_factor(need.pool);
-        let mut best: Option<(f64, &Name, &Worker)> = None;
+        let mut best: Option<(f64, Duration, &Name, &Worker)> = None;
         for (name, worker) in candidates {
-            if !worker.accepts_runs(now) || !worker.can_run(now, need) || !allowed(name) {
+            let verdict = worker.verdict(now, need, median, self.other_rack_factor);
+            let WorkerVerdict::Suitable { score, expected } = verdict else {
                 continue;
-            }
-            let factor = worker.expected_run_factor(now, need.step, self.other_rack_factor);
-            let expected = scaled(need.step.estimate, factor);
-            if need
-                .in_time
-                .is_some_and(|time| expected > scaled(time, IN_TIME_SHARE))
-            {
+            };
+            if !allowed(name) {
                 continue;
             }
-            let jitter = 1.0 + JITTER * rng.f64();
-            let score = factor / median * worker.score_factor() * jitter;
+            let score = score * (1.0 + JITTER * rng.f64());
             if best.is_none_or(|(least, ..)| score < least) {
-                best = Some((score, name, worker));
+                best = Some((score, expected, name, worker));
             }
         }
-        let run_factor =
-            |worker: &Worker| worker.expected_run_factor(now, need.step, self.other_rack_factor);
-        best.map(|(_, name, worker)| Choice {
+        best.map(|(_, expected, name, worker)| Choice {
             worker: name.clone(),
-            expected: scaled(need.step.estimate, run_factor(worker)),
+            expected,
             free: worker.free(),
             age: now.saturating_sub(worker.reported),
             basis: worker.basis(need.step.needs),
@@ -186,16 +179,6 @@
 }
 
 impl Worker {
-    /// Returns whether it has the free capacity, pool and label for the task, is not ejected, and not
-    /// too cold for a further run.
-    fn can_run(&self, now: Uptime, need: Need<'_>) -> bool {
-        need.step.needs.fits(self.obtainable())
-            && self.serves(need.pool)
-            && need.step.label.as_ref().is_none_or(|l| self.has_label(l))
-            && self.may_be_tried(now)
-            && self.is_warm_enough(now)
-    }
-
     /// Returns on what grounds there is room for a task.
     fn basis(&self, needs: Resources) -> Basis {
         if needs.fits(self.promised()) {
@@ -208,31 +191,36 @@
     }
 
     /// Returns whether a start is worth a try without a promise.
-    fn may_be_asked(&self, needs: Resources) -> bool {
+    pub(super) fn may_be_asked(&self, needs: Resources) -> bool {
         needs.times(FEW_TASKS).fits(self.obtainable()) || !needs.fits(self.report.unit)
     }
 
     /// Returns whether a start is hardly refused for lack of room.
-    fn is_safe(&self, needs: Resources) -> bool {
+    pub(super) fn is_safe(&self, needs: Resources) -> bool {
         self.basis(needs) != Basis::Contended
     }
 
     /// Returns whether it is not ejected, or is due for a try. An ejected worker gets one run at a
     /// time.
-    fn may_be_tried(&self, now: Uptime) -> bool {
+    pub(super) fn may_be_tried(&self, now: Uptime) -> bool {
         self.ejected_until
             .is_none_or(|until| now >= until && self.runs == 0)
     }
 
     /// Returns the expected ratio of run time to estimate of a task on this worker.
-    fn expected_run_factor(&self, now: Uptime, step: &Step, other_rack_factor: f64) -> f64 {
+    pub(super) fn expected_run_factor(
+        &self,
+        now: Uptime,
+        step: &Step,
+        other_rack_factor: f64,
+    ) -> f64 {
         let other_rack = step.rack.as_ref().is_some_and(|rack| !self.has_label(rack));
         let rack_factor = if other_rack { other_rack_factor } else { 1.0 };
         (self.present_run_factor(now) * rack_factor).min(MAX_RUN_FACTOR)
     }
 
     /// Returns the factor, at least 1, by which failures and utilization worsen its score.
-    fn score_factor(&self) -> f64 {
+    pub(super) fn score_factor(&self) -> f64 {
         let capacity = self
             .info
             .as_ref()
--- a/crates/core/src/pool/floors.rs
+++ b/crates/core/src/pool/floors.rs
@@ -67,7 +67,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct QueueFloors {
     samples: VecDeque<f64>,
     /// Number of jobs since the bounds were worked out.
@@ -119,7 +119,7 @@
 }
 
 /// The floors of the queues of one pool.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Floors {
     queues: IndexMap<Name, QueueFloors>,
 }
--- a/crates/core/src/pool/overload.rs
+++ b/crates/core/src/pool/overload.rs
@@ -9,6 +9,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::Uptime;
 
 /// A pool becomes overloaded when what waits takes longer than this to clear; most of the constant
@@ -29,7 +31,7 @@
 const DEFERRED_DUE: Duration = Duration::from_secs(5);
 
 /// Whether a pool is overloaded, with hysteresis.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct OverloadGate {
     is_overloaded: bool,
     /// When the wait last was above [`LEAVE_WAIT`], or a job was refused.
@@ -63,7 +65,8 @@
 }
 
 /// Priority class of a waiting job; jobs of earlier variants are placed first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Tier {
     /// Under overload: part of the job was sent, and it can meet its aim.
     Begun,
--- a/crates/core/src/pool/owners.rs
+++ b/crates/core/src/pool/owners.rs
@@ -25,7 +25,7 @@
     .saturating_add(LEASE_EXPIRY_MARGIN);
 
 /// The jobs of other entries, and the jobs of this entry that are to be announced.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Owners {
     /// The entry that announced each job last, and when.
     jobs: IndexMap<JobId, (Name, Uptime)>,
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -3,6 +3,7 @@
 mod cancels;
 mod contention;
 mod evacuation;
+mod explain;
 mod load;
 mod note;
 mod open_job;
@@ -18,12 +19,13 @@
 use indexmap::IndexMap;
 
 pub use cancels::{CANCEL_WAIT, CancelAnswer, MAX_CANCELS};
+pub use explain::{Explanation, LoadView, Outcome, Refusal, StepView};
 pub use note::{Action, Answer, EvacuationEffect, Note, Placed};
 
 use cancels::Cancels;
 use contention::QueueRanks;
 use load::PoolLoad;
-use open_job::{Hold, OpenJob, Rank, Task, TaskState};
+use open_job::{Hold, OpenJob, Rank, Task, TaskState, aim_of};
 use peers::YieldRequest;
 
 use super::catalog::Queue;
@@ -33,7 +35,7 @@
 use super::overload::{Order, Tier};
 use super::owners::{MAX_RUN_TIME_AFTER_LOSS, Owners};
 use super::shares::Shares;
-use super::{MAX_TIME, Uptime, scaled};
+use super::{MAX_TIME, Uptime};
 use crate::ids::Name;
 
 /// Maximum number of open jobs at one entry; further jobs are refused.
@@ -47,7 +49,7 @@
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A run that its agent was told to stop after its job was removed.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct StoppingRun {
     worker: Name,
     needs: Resources,
@@ -56,7 +58,7 @@
 /// The scheduler of pooled jobs at one entry.
 ///
 /// It does no I/O: every call appends [`Action`]s for the adapter to carry out.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Scheduler {
     fleet: Fleet,
     owners: Owners,
@@ -234,7 +236,7 @@
             return;
         }
         let hold = self.hold_for(id, out);
-        let aim = scaled(spec.critical_path(), queue.slack) + queue.aim.min(MAX_TIME);
+        let aim = aim_of(&spec, &queue);
         let deadline = deadline.min(MAX_TIME);
         let waits_for = match &hold {
             Hold::Yield(entry) => Some(entry.clone()),
--- a/crates/core/src/pool/scheduler/cancels.rs
+++ b/crates/core/src/pool/scheduler/cancels.rs
@@ -27,7 +27,7 @@
 }
 
 /// A cancel that came to this entry.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Cancel {
     at: Uptime,
     /// Connections that wait for the answer.
@@ -68,7 +68,7 @@
 }
 
 /// The cancels that came to this entry, by job.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Cancels(IndexMap<JobId, Cancel>);
 
 impl Cancels {
--- a/crates/core/src/pool/scheduler/contention.rs
+++ b/crates/core/src/pool/scheduler/contention.rs
@@ -21,7 +21,7 @@
 const RETRY_SPREAD: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(5));
 
 /// The queues of the catalogue in force.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct QueueRanks {
     /// Pool and priority of each queue.
     queues: IndexMap<Name, (Name, u32)>,
@@ -66,7 +66,7 @@
 }
 
 /// What the latest ranking found out about a contended pool.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct PoolView {
     room: Room,
     /// Work of this entry's waiting jobs that is still within their queue's share, for each queue
--- a/crates/core/src/pool/scheduler/load.rs
+++ b/crates/core/src/pool/scheduler/load.rs
@@ -34,7 +34,7 @@
 const MIN_RATE: f64 = 1000.0;
 
 /// Recent load of one pool at this entry.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct PoolLoad {
     /// Work that callers submitted.
     pub(super) asked: Rates,
--- a/crates/core/src/pool/scheduler/open_job.rs
+++ b/crates/core/src/pool/scheduler/open_job.rs
@@ -2,13 +2,14 @@
 //! jobs.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use super::super::Uptime;
 use super::super::catalog::Queue;
 use super::super::fleet::Basis;
 use super::super::floors::SizeClass;
 use super::super::job::{Job, JobId, RunId, Step, TaskId};
 use super::super::overload::{Order, Tier};
+use super::super::{MAX_TIME, Uptime, scaled};
 use crate::ids::Name;
 
 /// State of a task.
@@ -24,7 +25,7 @@
 }
 
 /// One task with its retry state.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Task {
     pub(super) step: u16,
     pub(super) index: u16,
@@ -54,7 +55,7 @@
 }
 
 /// A job that is not answered yet.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct OpenJob {
     pub(super) spec: Job,
     pub(super) queue: Arc<Queue>,
@@ -125,3 +126,7 @@
         self.tasks.iter().any(|task| self.is_ready(task))
     }
 }
+/// Returns the time from a job's arrival after which its answer is late.
+pub(super) fn aim_of(spec: &Job, queue: &Queue) -> Duration {
+    scaled(spec.critical_path(), queue.slack) + queue.aim.min(MAX_TIME)
+}
--- a/crates/core/src/pool/scheduler/peers.rs
+++ b/crates/core/src/pool/scheduler/peers.rs
@@ -7,7 +7,7 @@
 use super::{Action, Hold, JobId, Name, Note, Scheduler};
 
 /// A request of another entry to yield or cancel a job.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct YieldRequest {
     pub(super) job: JobId,
     /// The entry to notify once no run of the job is left here.
--- a/crates/core/src/pool/shares.rs
+++ b/crates/core/src/pool/shares.rs
@@ -159,7 +159,7 @@
 }
 
 /// The reports of the other entries, and when this entry reports.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Shares {
     interval: Duration,
     entries: usize,
