--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -2,6 +2,7 @@
 //! agents and other entries to the scheduler and carries out its actions.
 
 mod links;
+mod monitoring;
 mod notes;
 
 use std::io;
@@ -21,9 +22,7 @@
 use rw_host::cluster::{Cluster, ClusterEvent};
 use rw_host::net::{Accepts, ConnId, HttpLimits, HttpRequest, HttpResponse, Net, NetEvent};
 use rw_host::peers::Peers;
-use rw_host::pooled::{
-    METRICS_TAG, PooledDaemon, ReloadableSettings, ThreadEvent, answer_ask, metrics_response, start,
-};
+use rw_host::pooled::{PooledDaemon, ReloadableSettings, ThreadEvent, answer_ask, start};
 use rw_host::settings::{MachineLimits, NodeSettings};
 use rw_host::{clock, logging};
 use thiserror::Error;
@@ -100,6 +99,9 @@
     pub limits: MachineLimits,
     /// Factor on the run time of a task outside the rack of its data, if it is known.
     pub other_rack_factor: Option<f64>,
+    /// Blake3 hashes, in hexadecimal, of the operators' tokens for explanations; without one,
+    /// explanations are not served.
+    pub operator_token_hashes: Vec<String>,
     /// The callers' protocol.
     pub protocol: Box<dyn CallerProtocol>,
     /// Reloads the settings; called every second and when a reload is requested. Returns `None` if
@@ -154,6 +156,7 @@
         cluster,
         protocol: setup.protocol,
         reload: setup.reload,
+        operator_token_hashes: setup.operator_token_hashes,
         queues: None,
         pending_listen: Some(setup.callers),
         catalog_version: 0,
@@ -201,6 +204,7 @@
     cluster: Cluster,
     protocol: Box<dyn CallerProtocol>,
     reload: Box<dyn FnMut() -> Option<ReloadableSettings> + Send>,
+    operator_token_hashes: Vec<String>,
     /// Queues of the catalogue in force; `None` before the first catalogue.
     queues: Option<QueueTable>,
     /// Address for callers, until the entry listens on it. It does so only once a catalogue is in
@@ -287,7 +291,7 @@
             NetEvent::Request(conn, CALLERS_TAG, req) => {
                 self.on_caller_request(now, conn, &req, out);
             }
-            NetEvent::Request(conn, tag, req) => self.on_monitoring_request(conn, tag, &req),
+            NetEvent::Request(conn, tag, req) => self.on_monitoring_request(now, conn, tag, &req),
             NetEvent::CallerDisconnected(conn) => {
                 self.scheduler.disconnected(now, conn as u64, out);
             }
@@ -394,17 +398,6 @@
         self.net.respond(conn, &response);
     }
 
-    fn on_monitoring_request(&mut self, conn: ConnId, tag: u8, req: &HttpRequest) {
-        let response = match tag {
-            READINESS_TAG if req.path == self.protocol.readiness_path() => {
-                HttpResponse::empty(if self.ready { 200 } else { 503 })
-            }
-            METRICS_TAG if req.path == "/metrics" => metrics_response(),
-            _ => HttpResponse::empty(404),
-        };
-        self.net.respond(conn, &response);
-    }
-
     fn tick(&mut self, now: Uptime, events: &mut Vec<NetEvent>, out: &mut Vec<Action>) {
         if now < self.next_tick {
             return;
--- a/crates/host/src/http.rs
+++ b/crates/host/src/http.rs
@@ -120,6 +120,12 @@
 
 /// Returns the hash of a request's bearer token, as [`token_hash`] gives it; `None` without one.
 pub fn bearer_hash(req: &Request) -> Option<String> {
-    let token = req.header("Authorization")?.strip_prefix("Bearer ")?;
+    authorization_hash(req.header("Authorization"))
+}
+
+/// Returns the hash of the bearer token in the value of an `Authorization` header; `None` without
+/// one.
+pub fn authorization_hash(value: Option<&str>) -> Option<String> {
+    let token = value?.strip_prefix("Bearer ")?;
     Some(token_hash(token.trim()))
 }
