redwingwick explain: where a job would go now, and why

Asks an entry and prints the outcome, the three nearest reasons, the load of the pool and at most ten workers, or the entry's JSON. An unknown queue ends with exit code 7, an entry that can't be reached with 8.

--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -4,6 +4,8 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
+use crate::units;
+
 /// Returns the definition of the whole command line.
 pub fn build() -> Command {
     Command::new("redwingwick")
@@ -18,6 +20,7 @@
         .subcommand(preset())
         .subcommand(worker())
         .subcommand(domain())
+        .subcommand(explain())
         .subcommand(
             Command::new("check")
                 .about("Checks the settings that all daemons have in common")
@@ -268,6 +271,70 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Explains where a job would go now, and why, without submitting it")
+        .arg(
+            Arg::new("entry")
+                .long("entry")
+                .required(true)
+                .value_name("ADDR")
+                .help("Metrics address of the entry to ask"),
+        )
+        .args([
+            text_arg("queue", "Queue of the job").required_unless_present("host"),
+            text_arg("host", "Host of the request, instead of the queue").requires("path"),
+            text_arg("path", "Path of the request").requires("host"),
+            text_arg("label", "Label that the worker must have"),
+            text_arg("rack", "Label of the rack that has the data"),
+        ])
+        .args([
+            value_arg("count", "N", "Number of tasks")
+                .value_parser(value_parser!(u16).range(1..))
+                .default_value("1"),
+            value_arg("cpu", "CORES", "Cores that each task needs")
+                .value_parser(units::cpu_milli)
+                .default_value("0"),
+            value_arg(
+                "memory",
+                "SIZE",
+                "Memory that each task needs, as 64MB or 2GB",
+            )
+            .value_parser(units::memory_mb)
+            .default_value("0MB"),
+            value_arg("accelerators", "N", "Accelerators that each task needs")
+                .value_parser(value_parser!(u32))
+                .default_value("0"),
+            value_arg(
+                "estimate",
+                "TIME",
+                "Run time of each task, as 200ms or 1.5s",
+            )
+            .value_parser(units::duration)
+            .required(true),
+            value_arg(
+                "deadline",
+                "TIME",
+                "Time that the caller waits; by default the queue's timeout",
+            )
+            .value_parser(units::duration),
+        ])
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Prints the entry's answer as JSON"),
+        )
+}
+
+fn text_arg(id: &'static str, help: &'static str) -> Arg {
+    value_arg(id, "NAME", help)
+}
+
+fn value_arg(id: &'static str, value_name: &'static str, help: &'static str) -> Arg {
+    Arg::new(id).long(id).value_name(value_name).help(help)
+}
+
 /// Returns the value of an argument, or `None` if it has none.
 ///
 /// Panics if the argument is not defined or has another type.
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -6,6 +6,7 @@
 use clap::ArgMatches;
 use rw_core::config::{Change, ChangeOutcome, ChangeRequest, ClusterState};
 use rw_core::members::Member;
+use rw_core::pool::question::{EXPLAIN_PATH, Question};
 use rw_host::cluster::InForce;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -110,6 +111,21 @@
         }
     }
 
+    /// Returns an entry's explanation, as JSON text, of where a job would go.
+    pub fn explain(&self, entry: &str, question: &Question) -> Result<String, Error> {
+        let body = serde_json::to_string(question).map_err(|e| Error::Invalid(e.to_string()))?;
+        let url = format!("http://{entry}{EXPLAIN_PATH}");
+        match self.call(entry, attohttpc::post(url), Some(&body)) {
+            Reply::Answer(200, text) => Ok(text),
+            Reply::Answer(422, text) => Err(Error::UnknownQueue(text)),
+            Reply::Answer(400 | 401 | 413, text) => Err(Error::Invalid(text)),
+            Reply::Answer(_, reason) | Reply::NotAccepted(reason) | Reply::NoResponse(reason) => {
+                let entry = entry.to_owned();
+                Err(Error::Entry { entry, reason })
+            }
+        }
+    }
+
     /// Makes a change and returns the new revision.
     ///
     /// All attempts carry the same request id, so that the change takes effect at most once.
@@ -184,7 +200,8 @@
     matches!(e.kind(), attohttpc::ErrorKind::Io(e) if e.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
-fn parse<T>(text: &str) -> Result<T, Error>
+/// Parses an answer.
+pub fn parse<T>(text: &str) -> Result<T, Error>
 where
     T: DeserializeOwned,
 {
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod completions;
 mod domain;
+mod explain;
 mod hash_token;
 mod man;
 mod preset;
@@ -33,6 +34,7 @@
         Some(("tenant", args)) => Box::new(tenant::Tenant::new(args)),
         Some(("preset", args)) => Box::new(preset::Preset::new(args)),
         Some(("domain", args)) => Box::new(domain::Domain::new(args)),
+        Some(("explain", args)) => Box::new(explain::Explain::new(args)),
         Some(("worker", args)) => Box::new(worker::Worker::new(args)),
         Some(("check", args)) => Box::new(check::Check::new(args)),
         Some(("completions", args)) => Box::new(completions::Completions::new(args)),
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -14,6 +14,11 @@
 /// Exit code: it is unknown whether the change was made; resend it with the same request id.
 pub const EXIT_UNDECIDED: u8 = 6;
 
+/// Exit code: the queue is not in the catalogue that is in force at the entry.
+pub const EXIT_UNKNOWN_QUEUE: u8 = 7;
+/// Exit code: the entry cannot be reached, or does not answer operators.
+pub const EXIT_ENTRY: u8 = 8;
+
 /// An error of a command.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -43,6 +48,17 @@
         /// Reason why the outcome is unknown.
         reason: String,
     },
+    /// The queue is not in the catalogue that is in force at the entry; holds the entry's answer.
+    #[error("{0}")]
+    UnknownQueue(String),
+    /// The entry cannot be reached, or does not answer operators.
+    #[error("entry {entry}: {reason}")]
+    Entry {
+        /// Address of the entry.
+        entry: String,
+        /// The cause.
+        reason: String,
+    },
     /// Local input or output failed.
     #[error(transparent)]
     Io(#[from] io::Error),
@@ -60,6 +76,8 @@
         Error::Invalid(_) => EXIT_INVALID,
         Error::Unavailable(_) => EXIT_UNAVAILABLE,
         Error::Undecided { .. } => EXIT_UNDECIDED,
+        Error::UnknownQueue(_) => EXIT_UNKNOWN_QUEUE,
+        Error::Entry { .. } => EXIT_ENTRY,
         Error::Io(_) => 1,
     })
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod cmd;
 mod error;
+mod units;
 
 use std::process::ExitCode;
 
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -1,6 +1,6 @@
 //! Tests of the command line, run as a separate process.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::process::{Command, Output, Stdio};
 
 fn redwingwick(args: &[&str]) -> Output {
@@ -109,3 +109,73 @@
     assert!(output.stderr.is_empty(), "{}", text(&output.stderr));
     assert!(output.status.success());
 }
+
+/// Serves one request on a loopback port with this status and body. Returns the address, and the
+/// request once it was served.
+fn entry_that_answers(status: &str, body: &str) -> (String, std::thread::JoinHandle<String>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    let response = format!(
+        "HTTP/1.1 {status}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    let served = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut req = String::new();
+        let mut buf = [0; 4096];
+        while !req.ends_with('}') {
+            let n = stream.read(&mut buf).unwrap();
+            req.push_str(&text(&buf[..n]));
+        }
+        stream.write_all(response.as_bytes()).unwrap();
+        req
+    });
+    (addr, served)
+}
+
+fn explain(entry: &str, further: &[&str]) -> Output {
+    let args = ["explain", "--token", "t", "--entry", entry, "--queue", "q"];
+    let job = ["--count", "3", "--cpu", "2.6", "--memory", "64MB"];
+    redwingwick(&[&args[..], &job, &["--estimate", "200ms"], further].concat())
+}
+
+/// Guards against units that reach the entry as other amounts, and against reasons that come after the
+/// table.
+#[test]
+fn an_explanation_is_asked_for_in_the_entrys_units_and_shown_with_the_reasons_first() {
+    let answer = include_str!("explanation.json");
+    let (entry, served) = entry_that_answers("200 OK", answer);
+    let output = explain(&entry, &["--label", "big", "--deadline", "1.5s"]);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    let req = served.join().unwrap();
+    assert!(req.contains("Bearer t"), "{req}");
+    for field in [
+        "\"tasks\":3",
+        "\"cpu_milli\":2600",
+        "\"memory_mb\":64",
+        "\"estimate_ms\":200",
+        "\"label\":\"big\"",
+        "\"deadline_ms\":1500",
+    ] {
+        assert!(req.contains(field), "{field} {req}");
+    }
+    let shown = text(&output.stdout);
+    let lines: Vec<&str> = shown.lines().collect();
+    assert!(lines[0].starts_with("waits: tier Late, 2 jobs before it"));
+    assert_eq!(lines[1].trim(), "1 of 3 workers: no room");
+    assert!(lines.len() <= 24, "{shown}");
+}
+
+/// Guards against errors that scripts can't tell apart.
+#[test]
+fn an_unknown_queue_and_an_unreachable_entry_have_exit_codes_of_their_own() {
+    let (entry, served) = entry_that_answers("422 Unprocessable", "queue \"q\" does not exist");
+    let output = explain(&entry, &[]);
+    served.join().unwrap();
+    assert_eq!(output.status.code(), Some(7), "{}", text(&output.stderr));
+    assert!(text(&output.stderr).contains("queue \"q\" does not exist"));
+    let output = explain("127.0.0.1:1", &[]);
+    assert_eq!(output.status.code(), Some(8), "{}", text(&output.stderr));
+    let output = explain("127.0.0.1:1", &["--memory", "64"]);
+    assert_eq!(output.status.code(), Some(2), "{}", text(&output.stderr));
+}
