Explanations agree with submissions under overload

The test plays 300 jobs in a pool with too little room whose queues differ in priority and compares each explanation with the workers, the reason and the Retry-After that follow. Work of no waiting job was shown as -0.

--- a/crates/core/src/pool/scheduler/explain.rs
+++ b/crates/core/src/pool/scheduler/explain.rs
@@ -225,7 +225,7 @@
             open_jobs: self.jobs.len(),
             max_open_jobs: MAX_JOBS,
             waiting_jobs: waiting.clone().count(),
-            waiting_work: waiting.map(OpenJob::ready_work).sum(),
+            waiting_work: total_work(waiting),
             rate: load.rate().max(free_cpu_milli),
             free_cpu_milli,
             sent_of_queue: load.sent.of(&queue.name),
@@ -401,7 +401,7 @@
             .take_while(|rank| rank.2 != self.id);
         let before = before.filter_map(|rank| scheduler.jobs.get(&rank.2));
         let before = before.filter(|job| job.queue.pool == self.queue.pool);
-        let work_before = before.clone().map(OpenJob::ready_work).sum();
+        let work_before = total_work(before.clone());
         let rate = scheduler.load_view(self.now, &self.queue).rate;
         let start = seconds(work_before / rate);
         let job = scheduler.jobs.get(&self.id);
@@ -416,3 +416,12 @@
         }
     }
 }
+
+/// Returns the ready work of jobs, in core-milliseconds. A plain sum of none would be shown as -0.
+fn total_work<'a, I>(jobs: I) -> f64
+where
+    I: Iterator<Item = &'a OpenJob>,
+{
+    jobs.map(OpenJob::ready_work)
+        .fold(0.0, |sum, work| sum + work)
+}
--- a/crates/core/tests/pool_explain.rs
+++ b/crates/core/tests/pool_explain.rs
@@ -79,6 +79,16 @@
         entry
     }
 
+    /// Puts queues of different priority in force.
+    fn set_queues(&mut self) -> [Arc<Queue>; 2] {
+        let queues = [queue(0), queue(1)];
+        self.scheduler.set_catalog(&Catalog {
+            queues: queues.iter().map(|queue| (**queue).clone()).collect(),
+            ..Catalog::default()
+        });
+        queues
+    }
+
     fn link(&mut self, name: &Name) {
         let domain = Name::from(&name[..1]);
         self.scheduler.agent_up(self.now, name, &mut self.out);
@@ -116,8 +126,9 @@
     fn submit(&mut self, job: Job) -> (IndexMap<Name, u32>, Option<Answer>) {
         self.out.clear();
         let mut out = Vec::new();
+        let (id, caller) = (job.id, job.id.0);
         self.scheduler
-            .submit(self.now, job, queue(0), 7, DEADLINE, &mut out);
+            .submit(self.now, job, queue(0), caller, DEADLINE, &mut out);
         for _ in 0..3 {
             self.now += 5 * MS;
             self.scheduler.tick(self.now, &mut out);
@@ -125,10 +136,10 @@
         let (mut workers, mut answer) = (IndexMap::new(), None);
         for action in out {
             match action {
-                Action::Send(worker, ToAgent::Start(_)) => {
+                Action::Send(worker, ToAgent::Start(start)) if start.run.task.job == id => {
                     *workers.entry(worker).or_default() += 1;
                 }
-                Action::Answer(7, given) => answer = Some(given),
+                Action::Answer(to, given) if to == caller => answer = Some(given),
                 _ => {}
             }
         }
@@ -227,15 +238,46 @@
     assert_eq!((sent.len(), answer), (0, None));
 }
 
+/// Guards against an explanation that leaves out the order and the refusals of a pool with too little
+/// room.
+#[test]
+fn under_overload_each_job_ends_up_as_explained() {
+    let mut entry = Entry::new(4);
+    entry.set_queues();
+    let mut rng = Rng::with_seed(3);
+    let mut outcomes = IndexMap::new();
+    for i in 0..300 {
+        let name = Name::from(format!("b{}", rng.usize(1..7)));
+        entry.report(&name, resources(rng.u32(0..3) * 500));
+        let job = job(i, rng.u16(1..9), 500, None);
+        let explained = entry.explain(&job).outcome;
+        *outcomes.entry(explained.as_str()).or_insert(0) += 1;
+        let (sent, answer) = entry.submit(job);
+        match (&explained, &answer) {
+            (
+                Outcome::Refused(refusal),
+                Some(Answer::NotRun {
+                    reason,
+                    retry_after,
+                }),
+            ) => {
+                let given = (*reason, Some(*retry_after));
+                assert_eq!(given, (&*refusal.reason, refusal.retry_after));
+            }
+            (Outcome::Placed { workers, .. } | Outcome::Waits { workers, .. }, None) => {
+                assert_eq!(*workers, sent);
+            }
+            _ => panic!("job {i}: {explained:?}, but {answer:?}"),
+        }
+    }
+    assert!(outcomes.len() == 3, "{outcomes:?}");
+}
+
 /// Plays arrivals, reports and ticks with a seed, with explanations in between or not, and returns all
 /// actions as text.
 fn play(explains: usize) -> (Vec<String>, usize) {
     let mut entry = Entry::new(20);
-    let queues = [queue(0), queue(1)];
-    entry.scheduler.set_catalog(&Catalog {
-        queues: queues.iter().map(|queue| (**queue).clone()).collect(),
-        ..Catalog::default()
-    });
+    let queues = entry.set_queues();
     let mut rng = Rng::with_seed(5);
     let mut out = Vec::new();
     let mut refused = 0;
