--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -1,4 +1,4 @@
-//! HTTP client for the control nodes.
+//! HTTP client for the control nodes, and for entries that explain.
 
 use std::time::Duration;
 
@@ -119,10 +119,10 @@
             Reply::Answer(200, text) => Ok(text),
             Reply::Answer(422, text) => Err(Error::UnknownQueue(text)),
             Reply::Answer(400 | 401 | 413, text) => Err(Error::Invalid(text)),
-            Reply::Answer(_, reason) | Reply::NotAccepted(reason) | Reply::NoResponse(reason) => {
-                let entry = entry.to_owned();
-                Err(Error::Entry { entry, reason })
+            Reply::Answer(status, text) => {
+                Err(Error::Entry(format!("{entry}: status {status} {text}")))
             }
+            Reply::NotAccepted(reason) | Reply::NoResponse(reason) => Err(Error::Entry(reason)),
         }
     }
 
--- a/crates/cli/src/cmd/explain.rs
+++ b/crates/cli/src/cmd/explain.rs
@@ -188,12 +188,13 @@
 where
     W: Write,
 {
+    // Also core-seconds of core-milliseconds.
     let cores = |milli: f64| milli / 1000.0;
     writeln!(
         out,
         "pool: {} jobs wait ({:.1} core-s), {:.1} cores free, rate {:.1} cores, overloaded {}",
         load.waiting_jobs,
-        cores(load.waiting_work) / 1000.0,
+        cores(load.waiting_work),
         cores(load.free_cpu_milli),
         cores(load.rate),
         if load.overloaded { "yes" } else { "no" }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -51,14 +51,9 @@
     /// The queue is not in the catalogue that is in force at the entry; holds the entry's answer.
     #[error("{0}")]
     UnknownQueue(String),
-    /// The entry cannot be reached, or does not answer operators.
-    #[error("entry {entry}: {reason}")]
-    Entry {
-        /// Address of the entry.
-        entry: String,
-        /// The cause.
-        reason: String,
-    },
+    /// The entry cannot be reached, or does not answer operators; holds the cause.
+    #[error("the entry did not answer the question: {0}")]
+    Entry(String),
     /// Local input or output failed.
     #[error(transparent)]
     Io(#[from] io::Error),
@@ -77,7 +72,7 @@
         Error::Unavailable(_) => EXIT_UNAVAILABLE,
         Error::Undecided { .. } => EXIT_UNDECIDED,
         Error::UnknownQueue(_) => EXIT_UNKNOWN_QUEUE,
-        Error::Entry { .. } => EXIT_ENTRY,
+        Error::Entry(_) => EXIT_ENTRY,
         Error::Io(_) => 1,
     })
 }
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -163,6 +163,7 @@
     let lines: Vec<&str> = shown.lines().collect();
     assert!(lines[0].starts_with("waits: tier Late, 2 jobs before it"));
     assert_eq!(lines[1].trim(), "1 of 3 workers: no room");
+    assert!(shown.contains("2 jobs wait (0.9 core-s)"), "{shown}");
     assert!(lines.len() <= 24, "{shown}");
 }
 
