Entries pause between explanations

An explanation copies the scheduler on the thread that serves callers: 60 ms in a trial with 3,000 workers and 4,000 waiting jobs, 14 ms with 300 workers. After each, none is given for ten times as long as it took.

--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -157,6 +157,7 @@
         protocol: setup.protocol,
         reload: setup.reload,
         operator_token_hashes: setup.operator_token_hashes,
+        next_explanation: now,
         queues: None,
         pending_listen: Some(setup.callers),
         catalog_version: 0,
@@ -205,6 +206,8 @@
     protocol: Box<dyn CallerProtocol>,
     reload: Box<dyn FnMut() -> Option<ReloadableSettings> + Send>,
     operator_token_hashes: Vec<String>,
+    /// Time from which the next explanation is given.
+    next_explanation: Uptime,
     /// Queues of the catalogue in force; `None` before the first catalogue.
     queues: Option<QueueTable>,
     /// Address for callers, until the entry listens on it. It does so only once a catalogue is in
--- a/crates/entry/src/pooled/monitoring.rs
+++ b/crates/entry/src/pooled/monitoring.rs
@@ -3,6 +3,7 @@
 
 use rw_core::pool::Uptime;
 use rw_core::pool::question::{EXPLAIN_PATH, EntryExplanation, Question, QuestionError};
+use rw_host::clock;
 use rw_host::http::authorization_hash;
 use rw_host::net::{ConnId, HttpRequest, HttpResponse};
 use rw_host::pooled::{METRICS_TAG, metrics_response};
@@ -11,6 +12,9 @@
 
 /// Maximum size of a question in bytes.
 const MAX_QUESTION_BYTES: usize = 4 * 1024;
+/// After an explanation, none is given for this multiple of the time that it took, so that questions
+/// take little of the thread that serves callers.
+const EXPLANATION_PAUSE_FACTOR: u32 = 10;
 
 impl Daemon {
     pub(super) fn on_monitoring_request(
@@ -32,7 +36,7 @@
     }
 
     /// Answers an operator's question. Nothing changes by it but a log line.
-    fn explain(&self, now: Uptime, req: &HttpRequest) -> HttpResponse {
+    fn explain(&mut self, now: Uptime, req: &HttpRequest) -> HttpResponse {
         if self.operator_token_hashes.is_empty() {
             return text(404, "explanations are not served: no operator token is set");
         }
@@ -52,7 +56,7 @@
         }
     }
 
-    fn answer_question(&self, now: Uptime, body: &[u8]) -> Result<HttpResponse, (u16, String)> {
+    fn answer_question(&mut self, now: Uptime, body: &[u8]) -> Result<HttpResponse, (u16, String)> {
         if body.len() > MAX_QUESTION_BYTES {
             let reason = format!("a question has at most {MAX_QUESTION_BYTES} bytes");
             return Err((413, reason));
@@ -65,10 +69,17 @@
             QuestionError::UnknownQueue(_) => (422, e.to_string()),
             QuestionError::Tasks | QuestionError::NoQueue => (400, e.to_string()),
         })?;
+        if now < self.next_explanation {
+            return Err((503, "an explanation was just given; ask again".to_owned()));
+        }
         let deadline = question.deadline.unwrap_or(queue.timeout);
+        let begun = clock::uptime();
         let explanation = self
             .scheduler
             .explain(now, &question.job(), queue, deadline);
+        let ended = clock::uptime();
+        let took = ended.saturating_sub(begun);
+        self.next_explanation = ended + took * EXPLANATION_PAUSE_FACTOR;
         log::info!(queue:% = queue.name, tasks = question.tasks, outcome = explanation.outcome.as_str(),
             version = self.catalog_version; "job explained");
         let answer = EntryExplanation {
