--- a/crates/core/src/pool/fleet/verdict.rs
+++ b/crates/core/src/pool/fleet/verdict.rs
@@ -141,7 +141,10 @@
 
 impl Worker {
     /// Returns whether it is suitable for a task now. `median` is the median ratio of run time to
-    /// estimate of its pool. Never [`WorkerVerdict::Unpromised`], which depends on the other workers.
+    /// estimate of its pool.
+    ///
+    /// Never [`WorkerVerdict::Reserved`] or [`WorkerVerdict::Unpromised`], which the choice of a
+    /// worker does not distinguish.
     pub(super) fn verdict(
         &self,
         now: Uptime,
@@ -177,11 +180,7 @@
             };
         }
         if !needs.fits(self.obtainable()) {
-            return if needs.fits(self.free()) {
-                WorkerVerdict::Reserved
-            } else {
-                WorkerVerdict::NoRoom
-            };
+            return WorkerVerdict::NoRoom;
         }
         if !self.is_warm_enough(now) {
             return WorkerVerdict::Cold;
@@ -208,9 +207,15 @@
         let needs = need.step.needs;
         let row = |(name, worker): (&Name, &Worker)| {
             let mut verdict = worker.verdict(now, need, median, self.other_rack_factor);
-            let suitable = matches!(verdict, WorkerVerdict::Suitable { .. });
-            if suitable && !worker.is_safe(needs) && !worker.may_be_asked(needs) {
-                verdict = WorkerVerdict::Unpromised;
+            let may_be_chosen = worker.is_safe(needs) || worker.may_be_asked(needs);
+            match verdict {
+                WorkerVerdict::Suitable { .. } if !may_be_chosen => {
+                    verdict = WorkerVerdict::Unpromised;
+                }
+                WorkerVerdict::NoRoom if needs.fits(worker.free()) => {
+                    verdict = WorkerVerdict::Reserved;
+                }
+                _ => {}
             }
             CandidateRow {
                 worker: name.clone(),
--- a/crates/core/tests/pool_explain.rs
+++ b/crates/core/tests/pool_explain.rs
@@ -99,16 +99,17 @@
             labels: vec![domain],
         };
         self.on_agent(name, ToEntry::Worker(info));
-        self.report(name, resources(4000));
+        self.report(name, resources(4000), 0);
     }
 
-    fn report(&mut self, name: &Name, free: Resources) {
+    fn report(&mut self, name: &Name, free: Resources, reserved_milli: u32) {
         let report = CapacityReport {
             open: true,
             free: Resources {
                 memory_mb: 100,
                 ..free
             },
+            reserved: resources(reserved_milli),
             ..CapacityReport::default()
         };
         self.on_agent(name, ToEntry::Capacity(report));
@@ -222,9 +223,10 @@
 #[test]
 fn a_job_without_room_waits_as_explained() {
     let mut entry = Entry::new(0);
-    for name in ["a1", "a2", "b1", "b2"] {
-        entry.report(&name.into(), resources(500));
+    for name in ["a1", "a2", "b1"] {
+        entry.report(&name.into(), resources(500), 0);
     }
+    entry.report(&"b2".into(), resources(2000), 1500);
     let (sent, _) = entry.submit(job(1, 1, 1000, None));
     assert!(sent.is_empty());
     let job = job(2, 2, 1000, None);
@@ -233,7 +235,9 @@
         panic!("{explained:?}");
     };
     assert_eq!(jobs_before, 1);
-    assert_eq!(explained.steps[0].counts, [("no room".to_owned(), 4)]);
+    let counts = [("room is promised to other entries", 1), ("no room", 3)];
+    let counts = counts.map(|(reason, n)| (reason.to_owned(), n));
+    assert_eq!(explained.steps[0].counts, counts);
     let (sent, answer) = entry.submit(job);
     assert_eq!((sent.len(), answer), (0, None));
 }
@@ -248,7 +252,7 @@
     let mut outcomes = IndexMap::new();
     for i in 0..300 {
         let name = Name::from(format!("b{}", rng.usize(1..7)));
-        entry.report(&name, resources(rng.u32(0..3) * 500));
+        entry.report(&name, resources(rng.u32(0..3) * 500), 0);
         let job = job(i, rng.u16(1..9), 500, None);
         let explained = entry.explain(&job).outcome;
         *outcomes.entry(explained.as_str()).or_insert(0) += 1;
@@ -292,7 +296,7 @@
         }
         let name = Name::from(format!("b{}", rng.usize(1..23)));
         let free = resources(rng.u32(0..4) * 1000);
-        entry.report(&name, free);
+        entry.report(&name, free, 0);
         out.append(&mut entry.out);
         for n in 0..explains {
             let spec = job(i, n as u16 + 1, 1000, None);
