--- a/crates/agent/src/pooled.rs
+++ b/crates/agent/src/pooled.rs
@@ -80,6 +80,9 @@
     pub cold_factor: Option<f64>,
     /// What the machine grants this process.
     pub limits: MachineLimits,
+    /// Whether room is kept for large waiting tasks, by forecasts of agents and reservations of
+    /// entries.
+    pub look_ahead: bool,
     /// The worker's protocol.
     pub protocol: Box<dyn WorkerProtocol>,
     /// Reloads the settings; called every second and when a reload is requested. Returns `None` if
@@ -119,8 +122,12 @@
     net.listen(setup.announcements, Accepts::Http(WORKER_TAG))
         .map_err(error_at("listen for announcements of the worker"))?;
     let now = clock::uptime();
+    let mut driver = Driver::new(now, setup.max_lease);
+    if setup.look_ahead {
+        driver = driver.with_forecasts();
+    }
     let mut daemon = Daemon {
-        driver: Driver::new(now, setup.max_lease),
+        driver,
         net,
         peers: Peers::default(),
         cluster,
--- a/crates/core/src/pool/driver/reservations.rs
+++ b/crates/core/src/pool/driver/reservations.rs
@@ -50,6 +50,8 @@
 /// What the agent looks ahead with.
 #[derive(Debug, Default)]
 pub(super) struct LookAhead {
+    /// Whether forecasts are sent.
+    forecasts_on: bool,
     held: Option<Held>,
     /// Needs of the runs that were asked for.
     sizes: Sizes,
@@ -322,8 +324,18 @@
         self.send(&owner, msg, out);
     }
 
-    /// Sends forecasts to the entries with waiting jobs, if tasks differ in size on this worker.
+    /// Switches forecasts of room on.
+    #[must_use]
+    pub fn with_forecasts(mut self) -> Self {
+        self.ahead.forecasts_on = true;
+        self
+    }
+
+    /// Sends forecasts to the entries with waiting jobs, if they are switched on and tasks differ in size on this worker.
     pub(super) fn send_forecasts(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        if !self.ahead.forecasts_on {
+            return;
+        }
         let entries = &self.entries;
         let waits = |name: &Name| {
             entries
--- a/crates/core/src/pool/lookahead/sizes.rs
+++ b/crates/core/src/pool/lookahead/sizes.rs
@@ -15,7 +15,7 @@
 const USUAL_QUANTILE: f64 = 0.95;
 
 /// Needs of recent tasks.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Sizes {
     /// Latest last; at most [`REMEMBERED`].
     recent: VecDeque<Resources>,
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -3,6 +3,7 @@
 mod cancels;
 mod contention;
 mod evacuation;
+mod explain;
 mod load;
 mod note;
 mod open_job;
@@ -19,12 +20,13 @@
 use indexmap::IndexMap;
 
 pub use cancels::{CANCEL_WAIT, CancelAnswer, MAX_CANCELS};
+pub use explain::{Explanation, LoadView, Outcome, Refusal, StepView};
 pub use note::{Action, Answer, EvacuationEffect, Note, Placed};
 
 use cancels::Cancels;
 use contention::QueueRanks;
 use load::PoolLoad;
-use open_job::{Hold, OpenJob, Rank, Task, TaskState};
+use open_job::{Hold, OpenJob, Rank, Task, TaskState, aim_of};
 use peers::YieldRequest;
 use reserve::Reservations;
 
@@ -35,7 +37,7 @@
 use super::overload::{Order, Tier};
 use super::owners::{MAX_RUN_TIME_AFTER_LOSS, Owners};
 use super::shares::Shares;
-use super::{MAX_TIME, Uptime, scaled};
+use super::{MAX_TIME, Uptime};
 use crate::ids::Name;
 
 /// Maximum number of open jobs at one entry; further jobs are refused.
@@ -49,7 +51,7 @@
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A run that its agent was told to stop after its job was removed.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct StoppingRun {
     worker: Name,
     needs: Resources,
@@ -58,7 +60,7 @@
 /// The scheduler of pooled jobs at one entry.
 ///
 /// It does no I/O: every call appends [`Action`]s for the adapter to carry out.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Scheduler {
     fleet: Fleet,
     owners: Owners,
@@ -78,6 +80,8 @@
     past_attempts: IndexMap<JobId, u32>,
     /// Number of waiting jobs in the last `Waiting` message to the agents.
     announced_waiting: u32,
+    /// Whether the workers that this entry knows are all that it can expect room from.
+    reach_exhausted: bool,
     /// Whether jobs were still waiting after the last placement.
     jobs_left_waiting: bool,
     /// Time of the last placement that left jobs waiting.
@@ -111,6 +115,7 @@
             awaited: IndexMap::new(),
             past_attempts: IndexMap::new(),
             announced_waiting: 0,
+            reach_exhausted: true,
             jobs_left_waiting: false,
             last_waiting: now,
             untried: Vec::new(),
@@ -134,6 +139,12 @@
         self.fleet.set_other_rack_factor(factor);
     }
 
+    /// Sets whether links to further agents are not expected to bring room. Until then, a job whose
+    /// turn seems to come too late by the known workers is not refused.
+    pub fn set_reach_exhausted(&mut self, exhausted: bool) {
+        self.reach_exhausted = exhausted;
+    }
+
     /// Returns the number of jobs that are not answered yet.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len()
@@ -238,7 +249,7 @@
             return;
         }
         let hold = self.hold_for(id, out);
-        let aim = scaled(spec.critical_path(), queue.slack) + queue.aim.min(MAX_TIME);
+        let aim = aim_of(&spec, &queue);
         let deadline = deadline.min(MAX_TIME);
         let waits_for = match &hold {
             Hold::Yield(entry) => Some(entry.clone()),
--- a/crates/core/src/pool/scheduler/reserve.rs
+++ b/crates/core/src/pool/scheduler/reserve.rs
@@ -34,7 +34,7 @@
 const MAX_READY_TIME: Duration = Duration::from_millis(200);
 
 /// A reservation that this entry asked for.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Asked {
     worker: Name,
     needs: Resources,
@@ -44,10 +44,10 @@
 }
 
 /// The reservations of this entry.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Reservations {
-    /// Whether reservations are switched off, for comparisons in tests.
-    off: bool,
+    /// Whether room is reserved at all.
+    on: bool,
     asked: IndexMap<TaskId, Asked>,
     /// Needs of recent tasks, by pool.
     sizes: IndexMap<Name, Sizes>,
@@ -92,10 +92,10 @@
 }
 
 impl Scheduler {
-    /// Switches the reservation of room off, so that tests can compare what it changes.
+    /// Switches the reservation of room for large waiting tasks on.
     #[must_use]
-    pub fn without_reservations(mut self) -> Self {
-        self.reservations.off = true;
+    pub fn with_reservations(mut self) -> Self {
+        self.reservations.on = true;
         self
     }
 
@@ -106,7 +106,7 @@
 
     /// Gives up, renews and asks for reservations.
     pub(super) fn reserve(&mut self, now: Uptime, out: &mut Vec<Action>) {
-        if self.reservations.off {
+        if !self.reservations.on {
             return;
         }
         self.give_up_reservations(now, out);
--- a/crates/core/tests/pool_reservations.rs
+++ b/crates/core/tests/pool_reservations.rs
@@ -197,7 +197,7 @@
     fn new(cpu: u32) -> Self {
         let now = Duration::from_secs(10);
         let mut entry = Self {
-            scheduler: Scheduler::new(now, fastrand::Rng::with_seed(1)),
+            scheduler: Scheduler::new(now, fastrand::Rng::with_seed(1)).with_reservations(),
             now,
             out: Vec::new(),
         };
--- a/crates/core/tests/support/mix.rs
+++ b/crates/core/tests/support/mix.rs
@@ -189,15 +189,15 @@
             let scheduler = Scheduler::new(now, rng.fork());
             Entry {
                 scheduler: if mix.reserves {
-                    scheduler
+                    scheduler.with_reservations()
                 } else {
-                    scheduler.without_reservations()
+                    scheduler
                 },
                 next_tick: now,
             }
         };
         let agent = |capacity: &u32| Agent {
-            driver: Driver::new(now, Duration::from_secs(1)),
+            driver: Driver::new(now, Duration::from_secs(1)).with_forecasts(),
             next_tick: now,
             running: IndexMap::new(),
             ended: Vec::new(),
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -3,6 +3,7 @@
 
 mod bodies;
 mod links;
+mod monitoring;
 mod notes;
 
 use std::io;
@@ -23,9 +24,7 @@
 use rw_host::net::budget::StrangerLimits;
 use rw_host::net::{Accepts, ConnId, HttpLimits, HttpRequest, HttpResponse, Net, NetEvent};
 use rw_host::peers::Peers;
-use rw_host::pooled::{
-    METRICS_TAG, PooledDaemon, ReloadableSettings, ThreadEvent, answer_ask, metrics_response, start,
-};
+use rw_host::pooled::{PooledDaemon, ReloadableSettings, ThreadEvent, answer_ask, start};
 use rw_host::settings::{MachineLimits, NodeSettings};
 use rw_host::{clock, logging};
 use thiserror::Error;
@@ -104,8 +103,14 @@
     pub readiness: SocketAddr,
     /// What the machine grants this process.
     pub limits: MachineLimits,
+    /// Whether room is kept for large waiting tasks, by forecasts of agents and reservations of
+    /// entries.
+    pub look_ahead: bool,
     /// Factor on the run time of a task outside the rack of its data, if it is known.
     pub other_rack_factor: Option<f64>,
+    /// Blake3 hashes, in hexadecimal, of the operators' tokens for explanations; without one,
+    /// explanations are not served.
+    pub operator_token_hashes: Vec<String>,
     /// The callers' protocol.
     pub protocol: Box<dyn CallerProtocol>,
     /// Reloads the settings; called every second and when a reload is requested. Returns `None` if
@@ -159,6 +164,9 @@
     if let Some(factor) = setup.other_rack_factor {
         scheduler.set_other_rack_factor(factor);
     }
+    if setup.look_ahead {
+        scheduler = scheduler.with_reservations();
+    }
     let mut daemon = Daemon {
         scheduler,
         net,
@@ -166,6 +174,8 @@
         cluster,
         protocol,
         reload: setup.reload,
+        operator_token_hashes: setup.operator_token_hashes,
+        next_explanation: now,
         queues: None,
         pending_listen: Some(setup.callers),
         catalog_version: 0,
@@ -213,6 +223,9 @@
     cluster: Cluster,
     protocol: Arc<dyn CallerProtocol>,
     reload: Box<dyn FnMut() -> Option<ReloadableSettings> + Send>,
+    operator_token_hashes: Vec<String>,
+    /// Time from which the next explanation is given.
+    next_explanation: Uptime,
     /// Queues of the catalogue in force; `None` before the first catalogue.
     queues: Option<Arc<QueueTable>>,
     /// Address for callers, until the entry listens on it. It does so only once a catalogue is in
@@ -304,7 +317,7 @@
             NetEvent::Request(conn, CALLERS_TAG, req) => {
                 self.on_caller_request(now, conn, &req, out);
             }
-            NetEvent::Request(conn, tag, req) => self.on_monitoring_request(conn, tag, &req),
+            NetEvent::Request(conn, tag, req) => self.on_monitoring_request(now, conn, tag, &req),
             NetEvent::CallerDisconnected(conn) => {
                 self.scheduler.disconnected(now, conn as u64, out);
             }
@@ -411,17 +424,6 @@
         self.net.respond(conn, &response);
     }
 
-    fn on_monitoring_request(&mut self, conn: ConnId, tag: u8, req: &HttpRequest) {
-        let response = match tag {
-            READINESS_TAG if req.path == self.protocol.readiness_path() => {
-                HttpResponse::empty(if self.ready { 200 } else { 503 })
-            }
-            METRICS_TAG if req.path == "/metrics" => metrics_response(),
-            _ => HttpResponse::empty(404),
-        };
-        self.net.respond(conn, &response);
-    }
-
     fn tick(&mut self, now: Uptime, events: &mut Vec<NetEvent>, out: &mut Vec<Action>) {
         if now < self.next_tick {
             return;
