--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -152,9 +152,11 @@
         rx,
     } = start(&setup.node, Role::Entry, limits).map_err(error_at("start"))?;
     let protocol: Arc<dyn CallerProtocol> = Arc::from(setup.protocol);
+    let operator_token_hashes: Arc<[String]> = setup.operator_token_hashes.into();
     net.set_body_filter(Box::new(Bodies {
         protocol: protocol.clone(),
         queues: None,
+        operator_token_hashes: operator_token_hashes.clone(),
     }));
     net.listen(setup.readiness, Accepts::Http(READINESS_TAG))
         .map_err(error_at("listen for readiness checks"))?;
@@ -174,7 +176,7 @@
         cluster,
         protocol,
         reload: setup.reload,
-        operator_token_hashes: setup.operator_token_hashes,
+        operator_token_hashes,
         next_explanation: now,
         queues: None,
         pending_listen: Some(setup.callers),
@@ -223,7 +225,7 @@
     cluster: Cluster,
     protocol: Arc<dyn CallerProtocol>,
     reload: Box<dyn FnMut() -> Option<ReloadableSettings> + Send>,
-    operator_token_hashes: Vec<String>,
+    operator_token_hashes: Arc<[String]>,
     /// Time from which the next explanation is given.
     next_explanation: Uptime,
     /// Queues of the catalogue in force; `None` before the first catalogue.
@@ -306,6 +308,7 @@
         self.net.set_body_filter(Box::new(Bodies {
             protocol: self.protocol.clone(),
             queues: Some(queues.clone()),
+            operator_token_hashes: self.operator_token_hashes.clone(),
         }));
         self.queues = Some(queues);
         self.scheduler.set_catalog(catalog);
