--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -3,6 +3,7 @@
 //! Invariant: `revision` increases by one with each applied change and never decreases. Each object
 //! keeps the revision of its last change; a change based on an older revision is a conflict.
 
+mod checks;
 mod replicated;
 
 use std::sync::Arc;
@@ -21,6 +22,8 @@
 
 pub use replicated::{ControlState, MAX_RECENT_REQUESTS};
 
+use checks::{check_domain, check_exists, check_name, check_preset};
+
 /// Names of the built-in presets. The first is in force in a new cluster.
 pub const BUILT_IN_PRESETS: [&str; 3] = ["ordinary", "peak", "maintenance"];
 /// Maximum encoded length of the configuration, in bytes. A process gets it in one message.
@@ -533,41 +536,3 @@
         }
     }
 }
-
-fn check_exists<V>(map: &IndexMap<Name, V>, name: &Name, kind: &str) -> Result<(), String> {
-    if map.contains_key(name) {
-        Ok(())
-    } else {
-        Err(format!("no {kind} is named {name}"))
-    }
-}
-
-fn check_name(name: &str) -> Result<(), String> {
-    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
-    if name.is_empty() || name.len() > MAX_NAME_BYTES || !name.chars().all(allowed) {
-        return Err(format!(
-            "name {name:?} must be 1 to {MAX_NAME_BYTES} of a-z, 0-9, '-', '_', '.'"
-        ));
-    }
-    Ok(())
-}
-
-fn check_domain(domain: &str) -> Result<(), String> {
-    if domain.is_empty() || domain.len() > MAX_DOMAIN_BYTES || domain.contains(char::is_control) {
-        return Err(format!(
-            "the name of a failure domain must have 1 to {MAX_DOMAIN_BYTES} bytes and no control \
-             character"
-        ));
-    }
-    Ok(())
-}
-
-fn check_preset(preset: &Preset) -> Result<(), String> {
-    if preset.long_share_percent > 100 || preset.quota_percent > 1000 {
-        return Err("long_share_percent must be at most 100, quota_percent at most 1000".into());
-    }
-    if preset.dedupe_window < Duration::from_secs(10) {
-        return Err("dedupe_window_s must be at least 10".into());
-    }
-    Ok(())
-}
--- a/crates/core/src/pool/driver.rs
+++ b/crates/core/src/pool/driver.rs
@@ -13,30 +13,30 @@
 mod lists;
 mod note;
 mod owners;
+mod records;
 mod reservations;
 mod speed;
 mod starts;
 mod worker;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
 
 use super::Uptime;
 use super::job::{EndEvidence, Resources, RunEnd, RunId};
-use super::msg::{CapacityReport, NotStarted, ToEntry, WorkerInfo};
-use super::room::{Claim, News, Promises};
+use super::msg::{NotStarted, ToEntry, WorkerInfo};
+use super::room::Promises;
 use crate::ids::{Name, NodeRef};
 
 pub use call::{Call, CallTarget, EndedRow, Reply, RunningRow, StartRefusal};
-use evacuation::DomainState;
 pub use note::Note;
-use reservations::LookAhead;
-use speed::Progress;
-
 pub use worker::{Heartbeat, HeartbeatOutcome, HeartbeatState};
 
+use evacuation::DomainState;
+use records::{Candidate, Entry, PendingCall, Run, State, UndeliveredEnd, Worker};
+use reservations::LookAhead;
+
 /// A call times out after this multiple of the mean response time plus a margin for the scheduling
 /// of both processes, clamped to the limits below. A start that timed out is followed by a stop.
 const TIMEOUT_FACTOR: u32 = 6;
@@ -121,144 +121,6 @@
     Note(Note),
 }
 
-#[derive(Clone, Debug, PartialEq)]
-enum State {
-    /// Waits at the agent for free resources.
-    Queued,
-    /// The start call was sent and has not been answered.
-    Starting,
-    /// The worker reported that it runs.
-    Running,
-    /// The start was not answered, so it may or may not run.
-    Unknown,
-    /// To be stopped; its end has not been reported yet.
-    Stopping,
-}
-
-#[derive(Debug)]
-struct Run {
-    /// The entry process that asked for the run; `None` for a run that was found at the worker and
-    /// not claimed yet.
-    owner: Option<NodeRef>,
-    state: State,
-    needs: Resources,
-    estimate: Duration,
-    payload: Arc<str>,
-    /// When the job's aim is missed. Queued runs are started in this order.
-    due: Uptime,
-    /// Whether the room for it was promised to its entry.
-    claim: Claim,
-    /// Longest time in [`State::Queued`].
-    max_queue_time: Duration,
-    /// When the agent received it.
-    received: Uptime,
-    /// Earliest time at which the start may be sent; after the start, when it was sent.
-    start_at: Uptime,
-    /// When the worker reported that it runs; when the start was sent until then.
-    started: Uptime,
-    /// Reported progress in percent.
-    percent: u8,
-    /// When the progress last rose.
-    last_progress: Uptime,
-    /// Progress over the last observed window.
-    progress: Progress,
-    /// Run time after which the entry is next notified that the run is behind its estimate.
-    next_behind_report: Duration,
-    /// Earliest time of the next message to the entry that the run makes no progress.
-    next_stall_report: Uptime,
-    /// Whether the worker's pace was already updated from this run.
-    pace_counted: bool,
-    /// Deadline of the start on the worker's clock, in milliseconds; 0 if another agent process sent
-    /// it.
-    start_deadline: u64,
-    /// Whether the outcome of an unanswered start is settled by a stop, since its deadline is far or
-    /// the run is no longer wanted.
-    settled_by_stop: bool,
-    /// When a stop was answered. Lists requested later reliably show whether the run exists.
-    stop_answered: Option<Uptime>,
-    /// Whether a stop call is in flight.
-    stop_in_flight: bool,
-    /// Earliest time of the next stop call.
-    next_stop: Uptime,
-}
-
-#[derive(Debug)]
-struct Entry {
-    node: NodeRef,
-    linked: bool,
-    /// When the last message arrived.
-    last_received: Uptime,
-    /// Number of starts received on the present link.
-    starts_received: u64,
-    /// Number of jobs with waiting tasks at the entry.
-    waiting_jobs: u32,
-    /// The last report and when it was sent; `None` if a report is due at once.
-    last_report: Option<(Uptime, CapacityReport)>,
-    /// Whether the current [`WorkerInfo`] was sent to it.
-    info_sent: bool,
-    /// Until when the worker is cold, as it was sent to the entry; `None` if warm.
-    cold_sent: Option<Uptime>,
-    /// Since when the link is to be closed; `None` if it stays.
-    retiring_since: Option<Uptime>,
-    /// Changes of its promise since the last report.
-    news: News,
-}
-
-#[derive(Debug)]
-struct Worker {
-    id: Name,
-    /// Start time in Unix milliseconds as stated in its heartbeat; 0 if not stated.
-    start_time_ms: u64,
-    info: WorkerInfo,
-    state: HeartbeatState,
-    /// Sequence number of the latest heartbeat.
-    last_heartbeat: u64,
-    /// The worker's clock in milliseconds, and when it was received. At that time the clock showed
-    /// at least this value.
-    clock: Option<(u64, Uptime)>,
-    /// Until when its lease is assured by an answered call.
-    lease_until: Uptime,
-    /// Highest sequence number of an ended run in the lists received so far.
-    last_end_number: u64,
-    /// Whether at least one list was received.
-    listed: bool,
-    /// Whether it gave notice that it shuts down.
-    is_leaving: bool,
-    /// Whether it has answered a call, which proves that it serves the worker's address.
-    is_proven: bool,
-    /// Until when it is slow after its start; `None` if it is warm.
-    cold_until: Option<Uptime>,
-    /// Fencing token of the calls to it: its start time in Unix milliseconds, or more if a token was
-    /// as high before.
-    token: u64,
-}
-
-/// Another incarnation that sent a heartbeat and has not answered a call yet.
-#[derive(Debug)]
-struct Candidate {
-    heartbeat: Heartbeat,
-    /// Earliest time of the next call to it.
-    next_call: Uptime,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct UndeliveredEnd {
-    end: RunEnd,
-    evidence: EndEvidence,
-    /// Run time in milliseconds.
-    ran_ms: u32,
-    /// When the end became known.
-    at: Uptime,
-}
-
-#[derive(Clone, Debug)]
-struct PendingCall {
-    call: Call,
-    target: CallTarget,
-    sent: Uptime,
-    timeout: Uptime,
-}
-
 /// The state machine of one agent and its worker.
 ///
 /// It does no input or output: events go in with the present time, and the [`Action`]s to carry out
--- a/crates/core/src/pool/driver/starts.rs
+++ b/crates/core/src/pool/driver/starts.rs
@@ -4,6 +4,7 @@
 use super::super::job::{EndEvidence, RunEnd, RunId};
 use super::super::msg::{NotStarted, Start};
 use super::super::room::Claim;
+use super::speed::Progress;
 use super::{
     ASSURED_LEASE, Action, Call, DomainState, Driver, Duration, HeartbeatState, MAX_QUEUED, Note,
     Run, SHORT_START_WINDOW, START_WINDOW, StartRefusal, State,
@@ -161,7 +162,7 @@
             run.state = State::Running;
             run.started = now;
             run.last_progress = now;
-            run.progress = super::Progress::new(now);
+            run.progress = Progress::new(now);
         }
     }
 
@@ -299,7 +300,7 @@
             started: now,
             percent: 0,
             last_progress: now,
-            progress: super::Progress::new(now),
+            progress: Progress::new(now),
             next_behind_report: super::lists::MIN_BEHIND_RUN_TIME,
             next_stall_report: now,
             pace_counted: false,
@@ -328,7 +329,7 @@
             started: now,
             percent: 0,
             last_progress: now,
-            progress: super::Progress::new(now),
+            progress: Progress::new(now),
             next_behind_report: Duration::MAX,
             next_stall_report: now,
             pace_counted: true,
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -4,6 +4,7 @@
 mod contention;
 mod evacuation;
 mod explain;
+mod holds;
 mod load;
 mod note;
 mod open_job;
@@ -447,76 +448,4 @@
         self.report_load(now, out);
         self.reserve(now, out);
     }
-
-    /// Releases jobs held for an entry whose runs have certainly ended.
-    fn release_holds(&mut self, now: Uptime, out: &mut Vec<Action>) {
-        let released: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| match &job.hold {
-                Hold::Yield(entry) => self.owners.has_certainly_ended(now, entry),
-                Hold::None | Hold::Stopping => false,
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for id in released {
-            let hold = self.jobs.get(&id).map(|job| &job.hold);
-            if let Some(Hold::Yield(entry)) = hold {
-                out.push(Action::Note(Note::OwnerLost {
-                    job: id,
-                    entry: entry.clone(),
-                }));
-            }
-            self.release(now, id, out);
-        }
-        let lost: Vec<JobId> = self
-            .awaited
-            .iter()
-            .filter(|(_, entry)| self.owners.has_certainly_ended(now, entry))
-            .map(|(id, _)| *id)
-            .collect();
-        for id in lost {
-            self.awaited.swap_remove(&id);
-            self.finish_stopping(now, id, out);
-        }
-    }
-
-    /// Makes a held job ready, unless earlier runs of it are still being stopped here.
-    fn release(&mut self, now: Uptime, id: JobId, out: &mut Vec<Action>) {
-        self.owners.released(id);
-        let stopping = self.stopping.keys().any(|run| run.task.job == id);
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        job.hold = if stopping { Hold::Stopping } else { Hold::None };
-        if !stopping {
-            self.waiting.insert(job.rank);
-            self.untried.push(id);
-            self.place_waiting(now, out);
-        }
-    }
-
-    /// Once no run of a removed job is left, notifies the entries that wait for it and releases the
-    /// job if it was resubmitted here.
-    fn finish_stopping(&mut self, now: Uptime, id: JobId, out: &mut Vec<Action>) {
-        let has_runs = self.stopping.keys().any(|run| run.task.job == id);
-        if has_runs || self.awaited.contains_key(&id) {
-            return;
-        }
-        if !self.jobs.contains_key(&id) {
-            self.past_attempts.swap_remove(&id);
-        }
-        self.yield_requests.retain(|request| {
-            let is_confirmed = request.job == id && now >= request.not_before;
-            if is_confirmed {
-                let entry = request.entry.clone();
-                out.push(Action::Peer(entry, request.reply.clone()));
-            }
-            !is_confirmed
-        });
-        let held = self.jobs.get(&id).map(|job| &job.hold);
-        if held == Some(&Hold::Stopping) {
-            self.release(now, id, out);
-        }
-    }
 }
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -2,11 +2,11 @@
 //! agents and other entries to the scheduler and carries out its actions.
 
 mod bodies;
+mod error;
 mod links;
 mod monitoring;
 mod notes;
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,9 +27,11 @@
 use rw_host::pooled::{PooledDaemon, ReloadableSettings, ThreadEvent, answer_ask, start};
 use rw_host::settings::{MachineLimits, NodeSettings};
 use rw_host::{clock, logging};
-use thiserror::Error;
+
+pub use error::EntryError;
 
 use bodies::Bodies;
+use error::error_at;
 
 /// Tag of the HTTP listener for callers.
 const CALLERS_TAG: u8 = 0;
@@ -124,23 +126,6 @@
     }
 }
 
-/// An error that ends the daemon.
-#[derive(Debug, Error)]
-pub enum EntryError {
-    /// A socket or thread cannot be set up, or polling failed.
-    #[error("{step}: {source}")]
-    Io {
-        /// The step that failed.
-        step: &'static str,
-        /// The cause.
-        source: io::Error,
-    },
-}
-
-fn error_at(step: &'static str) -> impl FnOnce(io::Error) -> EntryError {
-    move |source| EntryError::Io { step, source }
-}
-
 /// Runs the daemon until it has drained after SIGTERM or SIGINT.
 ///
 /// Returns an error if a socket or thread cannot be set up or polling fails.
