Room ahead is promised for a whole share unless tasks are very uneven

Cause: since shares of a large task no longer keep room from small ones, a full worker promised room for the smallest recent task ahead of the next end. Change: parts of a share are promised only if the largest recent task needs at least 6 times the CPU of the smallest.

--- a/crates/core/src/pool/room.rs
+++ b/crates/core/src/pool/room.rs
@@ -92,6 +92,14 @@
     }
 }
 
+/// Parts of a share are promised too if the largest recent task needs at least this multiple of the
+/// CPU of the smallest one. Otherwise few tasks could use them.
+const UNEVEN_FACTOR: u32 = 6;
+
+fn is_uneven(least: Resources, largest: Resources) -> bool {
+    largest.cpu_milli >= least.cpu_milli.saturating_mul(UNEVEN_FACTOR)
+}
+
 /// The least and the largest amounts that tasks needed.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sizes {
@@ -187,7 +195,8 @@
     ) -> Option<Uptime> {
         let unit = self.unit(capacity);
         let waiting = self.holders.values().any(|holder| holder.waiting_jobs > 0);
-        let least = self.least().unwrap_or(unit);
+        let least = self.least().filter(|least| is_uneven(*least, unit));
+        let least = least.unwrap_or(unit);
         let ahead = if may_queue && waiting && !least.fits(free) {
             least
         } else {
