--- /dev/null
+++ b/review/harness-2/src/cases/kind.rs
@@ -0,0 +1,81 @@
+//! A worker is replaced by one of another kind while the entry stands still for half a second. A task
+//! that needs the label of the former kind must not start on it.
+
+use std::thread;
+
+use super::{ENTRY, Small, sleep_ms};
+use crate::client::{self, Job};
+use crate::nodes::{SIGCONT, SIGSTOP, SMALL};
+use crate::record::Record;
+use crate::{Verdict, operator};
+
+const FREEZE_MS: u64 = 500;
+
+pub fn play(trouble: bool, record: &Record) -> Verdict {
+    let Some(mut small) = Small::start(&SMALL, 1, 2, record) else {
+        return Verdict::CouldNotRun("no programs or no free addresses".into());
+    };
+    small.workers[0].start("i-plain", "s", &["a", "r1"], 16_000);
+    small.workers[1].start("i-special", "s", &["b", "r1"], 16_000);
+    if !small.publish(1, &operator::config(3, 8_000), record) {
+        return Verdict::CouldNotRun("the cluster is not ready".into());
+    }
+    sleep_ms(3_000);
+    let entry = small.entry(0);
+    let needs_b = |id| Job {
+        id,
+        tasks: 1,
+        cpu: 1000,
+        run_ms: 300,
+        estimate_ms: 300,
+        deadline_ms: 5_000,
+        step: r#","constraints":"b""#,
+    };
+    let first = client::submit(entry, &needs_b("00000000000000c1"), record);
+    let begun = small.workers[1].begun();
+    if begun.len() != 1 {
+        return Verdict::CouldNotRun(format!(
+            "no task ran on the worker with the label: {first:?}"
+        ));
+    }
+    let Some(mut stream) = client::connect(entry) else {
+        return Verdict::CouldNotRun("the entry takes no connection".into());
+    };
+    sleep_ms(500);
+    small.workers[1].crash();
+    sleep_ms(1_500);
+    if trouble {
+        record.note("the entry's machine stands still");
+        small.cluster.node(ENTRY).signal(SIGSTOP);
+    }
+    let waiting = {
+        let record = record.clone();
+        thread::spawn(move || {
+            let job = needs_b("00000000000000c2");
+            client::submit_on(&mut stream, &job, &record)
+        })
+    };
+    sleep_ms(100);
+    small.workers[1].start("i-other", "s", &["a", "r1"], 16_000);
+    sleep_ms(FREEZE_MS - 100);
+    if trouble {
+        small.cluster.node(ENTRY).signal(SIGCONT);
+        record.note("the entry's machine goes on");
+    }
+    let _ = waiting.join();
+    let wrong = small
+        .workers
+        .iter()
+        .flat_map(|worker| worker.begun())
+        .find(|run| {
+            run.task.starts_with("00000000000000c")
+                && !run.labels.split(',').any(|label| label == "b")
+        });
+    match wrong {
+        Some(run) => Verdict::Broken(format!(
+            "{} needs the label b and starts on {} with the labels {}",
+            run.task, run.worker, run.labels
+        )),
+        None => Verdict::Held("tasks start only on workers with the label".into()),
+    }
+}
