--- a/review/harness-2/src/cases/mod.rs
+++ b/review/harness-2/src/cases/mod.rs
@@ -3,8 +3,10 @@
 pub mod cancel;
 pub mod heartbeat;
 pub mod kind;
+pub mod life;
 pub mod shutdown;
 pub mod voters;
+pub mod woken;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -13,7 +15,7 @@
 use crate::nodes::{APP, CONTROL_PLANE, Cluster, Deployment, FRONTEND, READINESS, Role};
 use crate::operator;
 use crate::record::Record;
-use crate::worker::Worker;
+use crate::worker::{Begun, Worker};
 
 /// Host numbers: one control node, entries from 10, agents from 30.
 pub const CONTROL: u8 = 1;
@@ -100,3 +102,33 @@
 pub fn sleep_ms(ms: u64) {
     std::thread::sleep(Duration::from_millis(ms));
 }
+
+/// Returns a line for each two runs of one task that were running at the same time, and records it.
+pub fn overlaps(begun: &[Begun], record: &Record) -> Vec<String> {
+    let mut found = Vec::new();
+    let now = Instant::now();
+    let end = |run: &Begun| run.ended.map_or(now, |(at, _)| at);
+    let how = |run: &Begun| run.ended.map_or("runs", |(_, how)| how);
+    for (i, later) in begun.iter().enumerate() {
+        for earlier in &begun[..i] {
+            let from = earlier.at.max(later.at);
+            let until = end(earlier).min(end(later));
+            if earlier.task == later.task && from < until {
+                let text = format!(
+                    "{} runs on {} (#{}, ends {}) and on {} (#{}, ends {}) at the same time for {} ms",
+                    later.task,
+                    earlier.worker,
+                    earlier.attempt,
+                    how(earlier),
+                    later.worker,
+                    later.attempt,
+                    how(later),
+                    until.duration_since(from).as_millis()
+                );
+                record.note(&text);
+                found.push(text);
+            }
+        }
+    }
+    found
+}
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -41,6 +41,8 @@
         "shutdown" => cases::shutdown::play(trouble, &record),
         "kind" => cases::kind::play(trouble, &record),
         "heartbeat" => cases::heartbeat::play(trouble, &record),
+        "woken" => cases::woken::play(trouble, &record),
+        "life" => cases::life::play(trouble, &record),
         "cancel" => cases::cancel::play(trouble, &record),
         other => Verdict::CouldNotRun(format!("there is no case {other}")),
     };
--- a/review/harness-2/src/worker.rs
+++ b/review/harness-2/src/worker.rs
@@ -30,6 +30,11 @@
 #[derive(Clone, Debug)]
 pub struct Begun {
     pub task: String,
+    pub attempt: u64,
+    /// When and how it ended; `None` while it runs.
+    pub ended: Option<(Instant, &'static str)>,
+    /// When the life of the worker began.
+    life: Instant,
     pub at: Instant,
     /// Id and labels of the worker at that time.
     pub worker: String,
@@ -52,6 +57,10 @@
     barred: HashMap<String, u64>,
     lease_ms: u64,
     token: u64,
+    /// Time of the first heartbeat.
+    silent_until: Instant,
+    /// Task, attempt, time and kind of each end.
+    past: Vec<(String, u64, Instant, &'static str)>,
 }
 
 impl Life {
@@ -59,7 +68,8 @@
         self.begin.elapsed().as_millis() as u64
     }
 
-    fn end(&mut self, run: &Run, how: &'static str) {
+    fn end(&mut self, run: &Run, at: Instant, how: &'static str) {
+        self.past.push((run.task.clone(), run.attempt, at, how));
         self.last_end += 1;
         self.ended
             .push((self.last_end, run.task.clone(), run.attempt, how));
@@ -75,9 +85,10 @@
         running.sort_by_key(|run| run.until);
         for run in running {
             if run.until <= now && run.until <= lapses {
-                self.end(&run, "done");
+                let until = run.until;
+                self.end(&run, until, "done");
             } else if lapses <= now {
-                self.end(&run, "lapsed");
+                self.end(&run, lapses, "lapsed");
             } else {
                 self.running.push(run);
             }
@@ -96,6 +107,15 @@
     life: Option<Life>,
     conns: Vec<TcpStream>,
     begun: Vec<Begun>,
+    /// Ends in former lives, each with the begin of that life.
+    past: Vec<(Instant, String, u64, Instant, &'static str)>,
+    /// Number of orders that have arrived.
+    orders: usize,
+    /// Time by which the next start is carried out late, without an answer; 0 for at once.
+    delay_ms: u64,
+    /// Starts that are carried out late, and when.
+    delayed: Vec<(Instant, Message)>,
+    has_delayed: bool,
     /// When a heartbeat with `draining` was first acknowledged.
     draining_acked: Option<Instant>,
 }
@@ -119,6 +139,11 @@
                 life: None,
                 conns: Vec::new(),
                 begun: Vec::new(),
+                past: Vec::new(),
+                orders: 0,
+                delay_ms: 0,
+                delayed: Vec::new(),
+                has_delayed: false,
                 draining_acked: None,
             })),
         };
@@ -128,6 +153,7 @@
         thread::spawn(move || {
             loop {
                 ticking.tick();
+                ticking.carry_out_late();
                 thread::sleep(Duration::from_millis(2));
             }
         });
@@ -136,6 +162,11 @@
 
     /// Starts a worker: a new incarnation that knows nothing of one before.
     pub fn start(&self, id: &str, service: &str, labels: &[&str], cpu: u64) {
+        self.start_silent(id, service, labels, cpu, 0);
+    }
+
+    /// As [`Worker::start`], with the first heartbeat after this time.
+    pub fn start_silent(&self, id: &str, service: &str, labels: &[&str], cpu: u64, silent_ms: u64) {
         let now = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .expect("after 1970");
@@ -158,13 +189,24 @@
             barred: HashMap::new(),
             lease_ms: 0,
             token: 0,
+            silent_until: Instant::now() + Duration::from_millis(silent_ms),
+            past: Vec::new(),
         });
     }
 
     /// Ends the worker at once; nothing is sent.
     pub fn crash(&self) {
         let mut state = self.state.lock().unwrap();
-        if let Some(life) = state.life.take() {
+        if let Some(mut life) = state.life.take() {
+            life.settle();
+            let now = Instant::now();
+            for run in &life.running {
+                life.past
+                    .push((run.task.clone(), run.attempt, now, "crashed"));
+            }
+            for (task, attempt, at, how) in life.past.drain(..) {
+                state.past.push((life.begin, task, attempt, at, how));
+            }
             self.record.note(format!(
                 "worker {} crashes with {} tasks",
                 life.id,
@@ -184,8 +226,37 @@
         }
     }
 
+    /// Returns all starts that were carried out, with their ends.
     pub fn begun(&self) -> Vec<Begun> {
-        self.state.lock().unwrap().begun.clone()
+        let state = self.state.lock().unwrap();
+        let mut past = state.past.clone();
+        if let Some(life) = &state.life {
+            let ends = life.past.iter().cloned();
+            past.extend(ends.map(|(task, attempt, at, how)| (life.begin, task, attempt, at, how)));
+        }
+        let mut begun = state.begun.clone();
+        for run in &mut begun {
+            let is_end = |end: &&(Instant, String, u64, Instant, &'static str)| {
+                (end.0, &end.1, end.2) == (run.life, &run.task, run.attempt)
+            };
+            run.ended = past.iter().find(is_end).map(|end| (end.3, end.4));
+        }
+        begun
+    }
+
+    /// Lets the next start get no answer and be carried out this much later; 0 for no such start.
+    pub fn delay_next_start(&self, delay_ms: u64) {
+        self.state.lock().unwrap().delay_ms = delay_ms;
+    }
+
+    /// Returns whether a start was held back since the last call.
+    pub fn take_delayed(&self) -> bool {
+        std::mem::take(&mut self.state.lock().unwrap().has_delayed)
+    }
+
+    /// Returns the number of orders that have arrived.
+    pub fn orders(&self) -> usize {
+        self.state.lock().unwrap().orders
     }
 
     /// Returns how many tasks of a job run now.
@@ -263,6 +334,7 @@
             let now = {
                 let state = self.state.lock().unwrap();
                 let life = state.life.as_ref();
+                let life = life.filter(|life| Instant::now() >= life.silent_until);
                 life.map(|life| (life.id.clone(), life.state))
             };
             if let Some(now) = now {
@@ -325,6 +397,9 @@
     fn serve_conn(&self, mut stream: TcpStream) {
         let mut buf = Vec::new();
         while let Some(request) = http::read_message(&mut stream, &mut buf) {
+            if self.is_held_back(&request) {
+                continue;
+            }
             let Some((status, body)) = self.handle(&request) else {
                 let _ = stream.shutdown(Shutdown::Both);
                 return;
@@ -339,6 +414,53 @@
         }
     }
 
+    /// Counts an order, and keeps it if it is to be carried out late.
+    fn is_held_back(&self, request: &Message) -> bool {
+        let mut state = self.state.lock().unwrap();
+        state.orders += 1;
+        let delay = std::mem::take(&mut state.delay_ms);
+        if delay == 0 || !request.line.contains("/-/run-start") {
+            state.delay_ms = delay;
+            return false;
+        }
+        let due = Instant::now() + Duration::from_millis(delay);
+        self.record.note(format!(
+            "{}: a start gets no answer and is carried out {delay} ms later: {}",
+            self.addr, request.body
+        ));
+        state.delayed.push((due, request.clone()));
+        state.has_delayed = true;
+        true
+    }
+
+    /// Carries out the late orders now.
+    pub fn carry_out_late_now(&self) {
+        let now = Instant::now();
+        for (due, _) in &mut self.state.lock().unwrap().delayed {
+            *due = now;
+        }
+        self.carry_out_late();
+    }
+
+    /// Carries out the late orders that are due.
+    fn carry_out_late(&self) {
+        let now = Instant::now();
+        let due: Vec<Message> = {
+            let mut state = self.state.lock().unwrap();
+            let (due, rest) = std::mem::take(&mut state.delayed)
+                .into_iter()
+                .partition(|(at, _)| *at <= now);
+            state.delayed = rest;
+            let due: Vec<(Instant, Message)> = due;
+            due.into_iter().map(|(_, request)| request).collect()
+        };
+        for request in due {
+            let answer = self.handle(&request);
+            self.record
+                .note(format!("the late start is carried out: {answer:?}"));
+        }
+    }
+
     /// Handles a call; `None` if the worker has crashed meanwhile.
     fn handle(&self, request: &Message) -> Option<(u16, String)> {
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
@@ -416,6 +538,9 @@
                         life.id, life.labels
                     ));
                     state.begun.push(Begun {
+                        attempt,
+                        ended: None,
+                        life: life.begin,
                         task: task.clone(),
                         at: started,
                         worker: life.id.clone(),
@@ -437,7 +562,7 @@
                         .position(|run| run.task == task && run.attempt == attempt);
                     if let Some(found) = found {
                         let run = life.running.remove(found);
-                        life.end(&run, "stopped");
+                        life.end(&run, Instant::now(), "stopped");
                         self.record
                             .note(format!("{}: {task} #{attempt} ends stopped", life.id));
                     } else {
