--- a/review/harness-2/src/cases/cancel.rs
+++ b/review/harness-2/src/cases/cancel.rs
@@ -13,6 +13,8 @@
 
 /// The kill is repeated until a cancelled job goes on, this often at most.
 const ROUNDS: usize = 3;
+const ENTRIES: u8 = 3;
+const AGENTS: u8 = 6;
 const JOBS: usize = 40;
 /// Time from the kill to the start of the next process.
 const RESTART_MS: u64 = 300;
@@ -46,12 +48,18 @@
 }
 
 pub fn play(trouble: bool, record: &Record) -> Verdict {
-    let Some(mut small) = Small::start(&SMALL, 2, 2, record) else {
+    let Some(mut small) = Small::start(&SMALL, ENTRIES, AGENTS, record) else {
         return Verdict::CouldNotRun("no programs or no free addresses".into());
     };
-    small.workers[0].start("i-1", "s", &["a", "r1"], 16_000);
-    small.workers[1].start("i-2", "s", &["a", "r2"], 16_000);
-    if !small.publish(2, &operator::config(3, 20_000), record) {
+    for (i, worker) in small.workers.iter().enumerate() {
+        worker.start(
+            &format!("i-{i}"),
+            "s",
+            &["a", &format!("r{}", i / 3)],
+            16_000,
+        );
+    }
+    if !small.publish(ENTRIES, &operator::config(3, 20_000), record) {
         return Verdict::CouldNotRun("the cluster is not ready".into());
     }
     sleep_ms(3_000);
--- a/review/harness-2/src/cases/kind.rs
+++ b/review/harness-2/src/cases/kind.rs
@@ -9,15 +9,26 @@
 use crate::record::Record;
 use crate::{Verdict, operator};
 
+const ENTRIES: u8 = 3;
+const AGENTS: u8 = 7;
+/// The worker of kind b; all others are of kind a.
+const SPECIAL: usize = 6;
 const FREEZE_MS: u64 = 500;
 
 pub fn play(trouble: bool, record: &Record) -> Verdict {
-    let Some(mut small) = Small::start(&SMALL, 1, 2, record) else {
+    let Some(mut small) = Small::start(&SMALL, ENTRIES, AGENTS, record) else {
         return Verdict::CouldNotRun("no programs or no free addresses".into());
     };
-    small.workers[0].start("i-plain", "s", &["a", "r1"], 16_000);
-    small.workers[1].start("i-special", "s", &["b", "r1"], 16_000);
-    if !small.publish(1, &operator::config(3, 8_000), record) {
+    for (i, worker) in small.workers.iter().enumerate() {
+        let kind = if i == SPECIAL { "b" } else { "a" };
+        worker.start(
+            &format!("i-{i}"),
+            "s",
+            &[kind, &format!("r{}", i / 3)],
+            16_000,
+        );
+    }
+    if !small.publish(ENTRIES, &operator::config(3, 8_000), record) {
         return Verdict::CouldNotRun("the cluster is not ready".into());
     }
     sleep_ms(3_000);
@@ -32,7 +43,7 @@
         step: r#","constraints":"b""#,
     };
     let first = client::submit(entry, &needs_b("00000000000000c1"), record);
-    let begun = small.workers[1].begun();
+    let begun = small.workers[SPECIAL].begun();
     if begun.len() != 1 {
         return Verdict::CouldNotRun(format!(
             "no task ran on the worker with the label: {first:?}"
@@ -42,7 +53,7 @@
         return Verdict::CouldNotRun("the entry takes no connection".into());
     };
     sleep_ms(500);
-    small.workers[1].crash();
+    small.workers[SPECIAL].crash();
     sleep_ms(1_500);
     if trouble {
         record.note("the entry's machine stands still");
@@ -56,7 +67,7 @@
         })
     };
     sleep_ms(100);
-    small.workers[1].start("i-other", "s", &["a", "r1"], 16_000);
+    small.workers[SPECIAL].start("i-other", "s", &["a", "r2"], 16_000);
     sleep_ms(FREEZE_MS - 100);
     if trouble {
         small.cluster.node(ENTRY).signal(SIGCONT);
