Control: a removed voter finds a leader that it does not know

What operators saw: nothing yet. A control node that was away for long enough to be removed from the voters and whose known voters had all been replaced meanwhile never counted again, while it ran and was linked to the others. One node less was left to lose.

Cause: a server that counts itself as a voter sent only requests for pre-votes, and only to the voters that it knew, by name and disk. The leader answers such a request of a removed server with the log; a follower drops it. A leader with another name, or with another disk under a known name, never heard of the server.

Change: a server that hears no leader asks all servers that may be voters for admission as well. The leader ignores the request of a server that it counts as a voter; the others ignore all of them.

Test: a_removed_voter_is_admitted_by_a_leader_that_it_does_not_know failed before (voters ["e", "f", "g"] for ["a", "e", "f", "g"]) and passes now.

--- a/crates/core/src/raft/election.rs
+++ b/crates/core/src/raft/election.rs
@@ -82,8 +82,8 @@
             self.start_election(now, true, effects);
         } else {
             self.reset_election_timer(now);
-            self.request_admission(effects);
         }
+        self.request_admission(effects);
     }
 
     pub(super) fn start_election(&mut self, now: Instant, pre: bool, effects: &mut Effects) {
--- a/crates/core/src/raft/voters.rs
+++ b/crates/core/src/raft/voters.rs
@@ -23,6 +23,10 @@
         latest.unwrap_or_else(|| self.snapshot.voters.clone())
     }
 
+    /// Asks whichever server leads for admission. Without effect if it counts this one as a voter.
+    ///
+    /// A server that was removed while it was unreachable still counts itself, and the leader need
+    /// not be among the voters that it knows.
     pub(super) fn request_admission(&self, effects: &mut Effects) {
         for name in self.allowed.iter().filter(|name| **name != self.me.name) {
             let msg = RaftMsg {
--- a/crates/core/tests/raft_members.rs
+++ b/crates/core/tests/raft_members.rs
@@ -133,6 +133,26 @@
     assert!(net.publish(9));
 }
 
+/// A removed server asked only the voters that it knew, so it stayed out for good once all of these had
+/// been replaced.
+#[test]
+fn a_removed_voter_is_admitted_by_a_leader_that_it_does_not_know() {
+    let mut net = Net::with_voters(&["a", "b", "c", "d"]);
+    net.run(Duration::from_secs(2));
+    let removed = net.servers.shift_remove("a").expect("the server is up");
+    net.run(Duration::from_secs(4));
+    for (old, new) in [("b", "e"), ("c", "f"), ("d", "g")] {
+        net.start_learner(new);
+        net.run(Duration::from_secs(3));
+        net.stop(old);
+        net.run(Duration::from_secs(4));
+    }
+    assert_eq!(net.voters(), ["e", "f", "g"]);
+    net.servers.insert("a".into(), removed);
+    net.run(Duration::from_secs(4));
+    assert_eq!(net.voters(), ["a", "e", "f", "g"]);
+}
+
 #[test]
 fn a_read_is_confirmed_only_by_a_majority() {
     let mut net = Net::with_voters(&["a", "b", "c"]);
