Control: a new cluster accepts no change before all its voters are admitted

What operators saw: nothing yet. A configuration that was acknowledged while two of five control nodes had not joined rested on two disks, where two lost disks are tolerated.

Cause: a change was committed by a majority of the voters of the moment. The three founders of a larger cluster acknowledged changes by two of three, and nothing knew how many voters there were to be.

Change: the log is told how many lost disks it has to tolerate: a minority of control.peers, or the machines of the platform's faultTolerance. While no change was ever accepted, the leader refuses changes until that many servers are voters: 503 with the reason, a log line every 5 s. Servers count by name, since one that lost its disk may be listed twice. Clusters that have accepted a change are not affected.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 
 use crate::event_loop::Event;
+use crate::operations::too_few_voters;
 
 /// Maximum number of open HTTP connections; further ones are refused.
 pub const HTTP_CONNECTIONS: usize = 128;
@@ -63,6 +64,8 @@
     /// This node does not lead, or too many changes wait to be committed; holds the leader's name,
     /// if known.
     NotLeader(Option<Name>),
+    /// The cluster is new and has to admit this many more control nodes before it accepts changes.
+    TooFewVoters(usize),
 }
 
 /// Reply to [`Event::Read`].
@@ -166,6 +169,9 @@
         match rx.recv_timeout(CHANGE_TIMEOUT) {
             Ok(ChangeReply::Outcome(outcome)) => outcome_response(&outcome),
             Ok(ChangeReply::NotLeader(leader)) => not_leader(leader.as_ref()),
+            Ok(ChangeReply::TooFewVoters(missing)) => {
+                http::problem("not-ready", 503, &too_few_voters(missing), None)
+            }
             Err(_) => {
                 let detail = "not committed in time; resend with the same request id";
                 http::problem("undecided", 504, detail, None)
--- a/crates/control/src/event_loop.rs
+++ b/crates/control/src/event_loop.rs
@@ -290,6 +290,11 @@
         } else {
             MAX_PENDING_CHANGES
         };
+        let missing = self.raft.missing_voters();
+        if missing > 0 && self.raft.role() == RaftRole::Leader {
+            let _ = reply.send(ChangeReply::TooFewVoters(missing));
+            return;
+        }
         if self.pending_changes.len() >= limit || !self.raft.propose(now, req, effects) {
             let _ = reply.send(ChangeReply::NotLeader(self.leader_name()));
             return;
@@ -308,7 +313,8 @@
         }
     }
 
-    /// Logs a change of the voters, and from time to time that this node is none of them.
+    /// Logs a change of the voters, and from time to time that this node is none of them or that it
+    /// leads too few to accept changes.
     fn log_voters(&mut self, now: Instant) {
         let (term, commit, last) = self.raft.position();
         if self.raft.voters() != self.logged_voters {
@@ -324,6 +330,11 @@
                 log::warn!(leader:? = leader, term = term, commit = commit, last = last;
                     "this node is not a voter");
             }
+            let missing = self.raft.missing_voters();
+            if missing > 0 && self.raft.role() == RaftRole::Leader {
+                log::warn!(voters = self.raft.voters().len(), missing = missing;
+                    "changes are refused until more control nodes are admitted");
+            }
         }
     }
 
--- a/crates/control/src/event_loop/start.rs
+++ b/crates/control/src/event_loop/start.rs
@@ -60,10 +60,14 @@
 
 /// How a control node learns of the others.
 pub(crate) enum Peering {
-    /// From its settings: link addresses by name.
+    /// From its settings: link addresses of all of them by name. The cluster outlives the loss of any
+    /// minority of their disks.
     Fixed(IndexMap<Name, std::net::SocketAddr>),
     /// From the cluster's member list.
-    Members,
+    Members {
+        /// Number of disks that may be lost at a time.
+        tolerated_losses: usize,
+    },
 }
 
 /// A started control node, whose event loop is not running yet.
@@ -89,11 +93,16 @@
 ) -> Result<StartedNode, ControlError> {
     let (store, records) = journal;
     let me = find_identity(&records).unwrap_or_else(|| new_voter(&node.name));
-    let allowed = match peering {
-        Peering::Fixed(peers) => peers.keys().cloned().collect(),
-        Peering::Members => Vec::new(),
+    let (allowed, tolerated_losses) = match peering {
+        Peering::Fixed(peers) => {
+            let tolerated = peers.len().saturating_sub(1) / 2;
+            (peers.keys().cloned().collect(), tolerated)
+        }
+        Peering::Members { tolerated_losses } => (Vec::new(), *tolerated_losses),
     };
-    let raft = Raft::new(me, allowed, records, Instant::now(), fastrand::Rng::new());
+    log::info!(tolerated_losses = tolerated_losses; "control node starts");
+    let mut raft = Raft::new(me, allowed, records, Instant::now(), fastrand::Rng::new());
+    raft.set_tolerated_losses(tolerated_losses);
     let options = DaemonOptions {
         role: Role::Control,
         fetches_config: false,
@@ -113,7 +122,7 @@
             dial_peers_after(&linker, &node.name, peers);
             None
         }
-        Peering::Members => Some(Dialer::new(cluster.clone(), linker)),
+        Peering::Members { .. } => Some(Dialer::new(cluster.clone(), linker)),
     };
     let ready = Arc::new(AtomicBool::new(false));
     let api = Api {
--- a/crates/control/src/operations.rs
+++ b/crates/control/src/operations.rs
@@ -35,6 +35,8 @@
     /// This node does not lead, or too many changes wait to be committed; holds the name of the
     /// leader, if known.
     Elsewhere(Option<Name>),
+    /// The cluster is new and has to admit this many more control nodes before it accepts changes.
+    TooFewVoters(usize),
     /// The outcome was not known in time; the catalogue may still be committed.
     Undecided,
 }
@@ -49,6 +51,8 @@
     /// This node does not lead, or too many changes wait to be committed; holds the name of the
     /// leader, if known.
     Elsewhere(Option<Name>),
+    /// The cluster is new and has to admit this many more control nodes before it accepts changes.
+    TooFewVoters(usize),
     /// The outcome was not known in time; the order may still be committed.
     Undecided,
 }
@@ -65,8 +69,8 @@
     Unconfirmed,
 }
 
-/// Repeats a request while no leader is known, for at most [`ELECTION_TIME`], so that it succeeds
-/// once one is elected. Operators who are sent away come back only after a pause.
+/// Repeats a request while no leader can serve it, for at most [`ELECTION_TIME`], so that it
+/// succeeds once one is elected. Operators who are sent away come back only after a pause.
 fn during_election<T, N, F>(no_leader: N, request: F) -> T
 where
     N: Fn(&T) -> bool,
@@ -82,6 +86,11 @@
     }
 }
 
+/// Returns why a new cluster accepts no change yet.
+pub fn too_few_voters(missing: usize) -> String {
+    format!("no change is accepted before {missing} more control nodes are admitted")
+}
+
 /// Translates between [`Operations`] and the HTTP protocol of the operators.
 pub trait OperatorProtocol: Send + Sync {
     /// Handles one request.
@@ -149,6 +158,7 @@
                 PublishOutcome::Invalid(reason)
             }
             Some(ChangeReply::NotLeader(leader)) => PublishOutcome::Elsewhere(leader),
+            Some(ChangeReply::TooFewVoters(missing)) => PublishOutcome::TooFewVoters(missing),
             None => PublishOutcome::Undecided,
         };
         log::info!(version = version, outcome:? = published; "catalogue publication finished");
@@ -185,6 +195,7 @@
                 DomainOutcome::Invalid(reason)
             }
             Some(ChangeReply::NotLeader(leader)) => DomainOutcome::Elsewhere(leader),
+            Some(ChangeReply::TooFewVoters(missing)) => DomainOutcome::TooFewVoters(missing),
         }
     }
 
@@ -196,8 +207,12 @@
             base: u64::MAX,
             change,
         };
-        let no_leader =
-            |reply: &Option<ChangeReply>| matches!(reply, Some(ChangeReply::NotLeader(None)));
+        let no_leader = |reply: &Option<ChangeReply>| {
+            matches!(
+                reply,
+                Some(ChangeReply::NotLeader(None) | ChangeReply::TooFewVoters(_))
+            )
+        };
         during_election(no_leader, || self.propose(&req))
     }
 
--- a/crates/control/src/pooled.rs
+++ b/crates/control/src/pooled.rs
@@ -30,6 +30,8 @@
     /// Names of the initial voters, the same set at each of them. Empty unless the whole cluster
     /// starts for the first time.
     pub initial_voters: Vec<Name>,
+    /// Number of disks that may be lost at a time without the loss of an acknowledged change.
+    pub tolerated_losses: usize,
     /// What the machine grants this process.
     pub limits: MachineLimits,
     /// The operators' protocol.
@@ -53,6 +55,9 @@
     let bound = BoundSockets::bind(&setup.node)?;
     create_initial_journal(&setup)?;
     let journal = event_loop::open_journal(&setup.data, &name)?;
+    let peering = Peering::Members {
+        tolerated_losses: setup.tolerated_losses,
+    };
     let doors = Doors::new(&setup.limits);
     let StartedNode {
         event_loop,
@@ -65,7 +70,7 @@
         &setup.node,
         journal,
         setup.operator_token_hashes,
-        &Peering::Members,
+        &peering,
         doors.max_unproven_links,
     )?;
     let operations = Operations::new(tx, doors.http.parsed_bytes);
--- a/crates/core/src/raft.rs
+++ b/crates/core/src/raft.rs
@@ -118,6 +118,8 @@
     /// Entries after `snapshot`, without gaps.
     log: Log,
     voters: Vec<VoterId>,
+    /// Number of disks that may be lost at a time without the loss of a committed change.
+    tolerated_losses: usize,
     /// Invariant: `snapshot.index <= applied <= commit <= last_index()`.
     commit: u64,
     applied: u64,
@@ -162,6 +164,7 @@
             incoming: None,
             log: Log::default(),
             voters: Vec::new(),
+            tolerated_losses: 0,
             commit: 0,
             applied: 0,
             state: ControlState::default(),
@@ -197,6 +200,14 @@
         self.compact_after = entries;
     }
 
+    /// Sets the number of disks that may be lost at a time without the loss of a committed change; 0
+    /// by default, and at most as many as a majority of the maximum number of voters leaves.
+    ///
+    /// A new cluster accepts its first change only once it has more than twice as many voters.
+    pub fn set_tolerated_losses(&mut self, disks: usize) {
+        self.tolerated_losses = disks.min(MAX_VOTERS / 2);
+    }
+
     /// Sets the limits of what is sent to another server at a time.
     pub fn set_send_limits(&mut self, limits: SendLimits) {
         self.send_limits = limits;
@@ -339,10 +350,23 @@
         self.is_leader() && self.term_committed() && self.acked_since(now, LEASE)
     }
 
+    /// Returns how many more servers a new cluster has to admit before it accepts its first change; 0
+    /// if it has accepted one.
+    ///
+    /// A change that fewer voters commit would rest on too few disks to outlive the tolerated losses.
+    pub fn missing_voters(&self) -> usize {
+        if !self.state.recent.is_empty() {
+            return 0;
+        }
+        // A server that has lost its disk may be listed with its former disk as well.
+        let servers: IndexSet<&Name> = self.voters.iter().map(|voter| &voter.name).collect();
+        self.full_size().saturating_sub(servers.len())
+    }
+
     /// Appends a change to the log. Returns `false`, with no effect, if this server is not the
-    /// leader.
+    /// leader or the cluster does not have enough voters yet.
     pub fn propose(&mut self, now: Instant, req: ChangeRequest, effects: &mut Effects) -> bool {
-        if !self.is_leader() {
+        if !self.is_leader() || self.missing_voters() > 0 {
             return false;
         }
         self.append_local(Command::Change(req), effects);
--- a/crates/core/src/raft/voters.rs
+++ b/crates/core/src/raft/voters.rs
@@ -66,6 +66,11 @@
         self.send_append(from, effects);
     }
 
+    /// Returns the number of voters with which a majority outlives the tolerated losses.
+    pub(super) fn full_size(&self) -> usize {
+        2 * self.tolerated_losses + 1
+    }
+
     /// Appends one change of the voters if one is due and none is uncommitted: a voter that has
     /// been silent for too long is removed, or a learner that has caught up is admitted.
     pub(super) fn change_voters(&mut self, now: Instant, effects: &mut Effects) {
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -17,7 +17,7 @@
 const STEPS: u64 = 60_000;
 
 /// Returns the number in an environment variable, or the default if it is unset or not a number.
-fn number(name: &str, default: u64) -> u64 {
+pub fn number(name: &str, default: u64) -> u64 {
     env::var(name)
         .ok()
         .and_then(|value| value.parse().ok())
