Control: a new cluster without further servers accepts changes

What operators would have seen: with fewer control nodes than the tolerated losses need, no change was ever accepted (503).

Change: the leader of a new cluster waits for servers that the member list names, and 3 s for others.

--- a/crates/control/src/event_loop.rs
+++ b/crates/control/src/event_loop.rs
@@ -290,7 +290,7 @@
         } else {
             MAX_PENDING_CHANGES
         };
-        let missing = self.raft.missing_voters();
+        let missing = self.raft.missing_voters(now);
         if missing > 0 && self.raft.role() == RaftRole::Leader {
             let _ = reply.send(ChangeReply::TooFewVoters(missing));
             return;
@@ -330,7 +330,7 @@
                 log::warn!(leader:? = leader, term = term, commit = commit, last = last;
                     "this node is not a voter");
             }
-            let missing = self.raft.missing_voters();
+            let missing = self.raft.missing_voters(now);
             if missing > 0 && self.raft.role() == RaftRole::Leader {
                 log::warn!(voters = self.raft.voters().len(), missing = missing;
                     "changes are refused until more control nodes are admitted");
--- a/crates/core/src/raft.rs
+++ b/crates/core/src/raft.rs
@@ -66,6 +66,9 @@
 /// failure. A cluster that tolerates more than one lost disk keeps more; see
 /// [`Raft::set_tolerated_losses`].
 const MIN_VOTERS: usize = 3;
+/// Time for which the leader of a new cluster waits for control servers that nobody has heard of yet.
+/// Longer than the servers of a cluster take to start and to find one another.
+const FOUNDING_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of voters.
 const MAX_VOTERS: usize = 9;
 /// Number of heartbeat rounds whose send times are kept.
@@ -128,6 +131,8 @@
     role: RaftRole,
     leader: Option<VoterId>,
     leader_heard_at: Option<Instant>,
+    /// When this server became the leader, if it is.
+    leading_since: Instant,
     election_at: Instant,
     heartbeat_at: Instant,
     granted: IndexSet<VoterId>,
@@ -172,6 +177,7 @@
             role: RaftRole::Follower,
             leader: None,
             leader_heard_at: None,
+            leading_since: now,
             election_at: now,
             heartbeat_at: now,
             granted: IndexSet::new(),
@@ -352,23 +358,28 @@
         self.is_leader() && self.term_committed() && self.acked_since(now, LEASE)
     }
 
-    /// Returns how many more servers a new cluster has to admit before it accepts its first change; 0
-    /// if it has accepted one.
+    /// Returns how many more servers this leader of a new cluster has to admit before it accepts the
+    /// first change; 0 if the cluster has accepted one.
     ///
     /// A change that fewer voters commit would rest on too few disks to outlive the tolerated losses.
-    pub fn missing_voters(&self) -> usize {
+    /// A cluster that has no further servers accepts changes after a few seconds all the same.
+    pub fn missing_voters(&self, now: Instant) -> usize {
         if !self.state.recent.is_empty() {
             return 0;
         }
         // A server that has lost its disk may be listed with its former disk as well.
         let servers: IndexSet<&Name> = self.voters.iter().map(|voter| &voter.name).collect();
+        let is_complete = self.allowed.iter().all(|name| servers.contains(name));
+        if is_complete && now >= self.leading_since + FOUNDING_TIME {
+            return 0;
+        }
         self.full_size().saturating_sub(servers.len())
     }
 
     /// Appends a change to the log. Returns `false`, with no effect, if this server is not the
     /// leader or the cluster does not have enough voters yet.
     pub fn propose(&mut self, now: Instant, req: ChangeRequest, effects: &mut Effects) -> bool {
-        if !self.is_leader() || self.missing_voters() > 0 {
+        if !self.is_leader() || self.missing_voters(now) > 0 {
             return false;
         }
         self.append_local(Command::Change(req), effects);
--- a/crates/core/src/raft/election.rs
+++ b/crates/core/src/raft/election.rs
@@ -192,6 +192,7 @@
 
     pub(super) fn become_leader(&mut self, now: Instant, effects: &mut Effects) {
         self.role = RaftRole::Leader;
+        self.leading_since = now;
         self.leader = Some(self.me.clone());
         self.rounds.clear();
         self.peers.clear();
--- a/crates/core/tests/raft_losses.rs
+++ b/crates/core/tests/raft_losses.rs
@@ -119,6 +119,17 @@
     }
 }
 
+/// A cluster of fewer servers than its tolerated losses need must not refuse changes for good.
+#[test]
+fn a_new_cluster_without_further_servers_accepts_changes() {
+    let mut losses = Losses::with_founders(5, 4);
+    losses.remove_joiners();
+    losses.run(Duration::from_secs(2));
+    assert_eq!(losses.acknowledged(), 0, "{}", losses.describe());
+    losses.run(Duration::from_secs(2));
+    assert!(losses.publishes(), "{}", losses.describe());
+}
+
 /// The three founders of a cluster of five acknowledged a change on two disks.
 #[test]
 fn a_new_cluster_accepts_no_change_before_all_its_voters_are_admitted() {
