Entry: jobs wait after a stand-still until the other entries' jobs are known

Cause: an entry that stood still closes its links. Jobs that came before the links were up again were begun at once, since no entry was known to run them.

Evidence: in the logs "job accepted" without waits_for comes 0.1 s before "link up" to the entry that runs the jobs.

Change: after a stand-still, jobs wait until each entry that is alive by the member list has announced its jobs on a new link, for 1 s at most. The first announcement on a link is also sent if there are no jobs, and includes those that are being stopped. The tests of single messages leave such empty announcements out; their checks are as before.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -9,6 +9,7 @@
 //! Times are [`Uptime`]s, which include suspended time, so that a process can tell how long it was
 //! suspended.
 
+pub mod acquaintance;
 pub mod catalog;
 pub mod driver;
 pub mod fleet;
--- a/crates/core/src/pool/owners.rs
+++ b/crates/core/src/pool/owners.rs
@@ -76,6 +76,11 @@
         self.live = entries;
     }
 
+    /// Returns the other entries that are alive by the member list.
+    pub fn live(&self) -> &IndexSet<Name> {
+        &self.live
+    }
+
     /// Handles a new link to another entry.
     pub fn link_up(&mut self, entry: &Name) {
         self.peers.insert(entry.clone(), None);
--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -31,6 +31,7 @@
 use peers::YieldRequest;
 use reserve::Reservations;
 
+use super::acquaintance::Acquaintance;
 use super::catalog::Queue;
 use super::fleet::{Basis, Fleet};
 use super::job::{Job, JobId, Resources, RunId};
@@ -65,6 +66,7 @@
 pub struct Scheduler {
     fleet: Fleet,
     owners: Owners,
+    acquaintance: Acquaintance,
     jobs: IndexMap<JobId, OpenJob>,
     /// Jobs with tasks that are ready for placement, in placement order.
     waiting: BTreeSet<Rank>,
@@ -107,6 +109,7 @@
         Self {
             fleet: Fleet::default(),
             owners: Owners::default(),
+            acquaintance: Acquaintance::at_start(now),
             jobs: IndexMap::new(),
             waiting: BTreeSet::new(),
             stopping: IndexMap::new(),
@@ -180,6 +183,7 @@
         for id in self.jobs.keys().copied().collect::<Vec<_>>() {
             self.abort(now, id, "the entry stood still", out);
         }
+        self.acquaintance = Acquaintance::at_wake(now);
         out.push(Action::DropLinks);
     }
 
@@ -249,12 +253,16 @@
             );
             return;
         }
-        let hold = self.hold_for(id, out);
+        let hold = if self.acquaintance.holds_jobs(now, self.owners.live()) {
+            Hold::Unacquainted
+        } else {
+            self.hold_for(id, out)
+        };
         let aim = aim_of(&spec, &queue);
         let deadline = deadline.min(MAX_TIME);
         let waits_for = match &hold {
             Hold::Yield(entry) => Some(entry.clone()),
-            Hold::None | Hold::Stopping => None,
+            Hold::None | Hold::Stopping | Hold::Unacquainted => None,
         };
         out.push(Action::Note(Note::Accepted {
             job: id,
@@ -439,6 +447,7 @@
         self.fleet.remove_stale(now, WORKER_RETENTION);
         self.fleet.refresh(now);
         self.end_lost_runs(now, out);
+        self.release_acquainted(now, out);
         self.confirm_yields(now, out);
         self.release_holds(now, out);
         self.settle_cancels(now, out);
--- a/crates/core/src/pool/scheduler/holds.rs
+++ b/crates/core/src/pool/scheduler/holds.rs
@@ -1,7 +1,7 @@
 //! Jobs that wait until earlier runs of them have ended, here or at another entry.
 
 use super::super::Uptime;
-use super::{Action, Hold, JobId, Note, Scheduler};
+use super::{Action, Hold, JobId, Note, OpenJob, Scheduler};
 
 impl Scheduler {
     /// Releases jobs held for an entry whose runs have certainly ended.
@@ -11,7 +11,7 @@
             .iter()
             .filter(|(_, job)| match &job.hold {
                 Hold::Yield(entry) => self.owners.has_certainly_ended(now, entry),
-                Hold::None | Hold::Stopping => false,
+                Hold::None | Hold::Stopping | Hold::Unacquainted => false,
             })
             .map(|(id, _)| *id)
             .collect();
@@ -37,6 +37,46 @@
         }
     }
 
+    /// Releases the jobs held since this entry woke, once it has heard which jobs the others run.
+    pub(super) fn release_acquainted(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        if self.acquaintance.holds_jobs(now, self.owners.live()) {
+            return;
+        }
+        let held = |(_, job): &(&JobId, &OpenJob)| job.hold == Hold::Unacquainted;
+        let held: Vec<JobId> = self.jobs.iter().filter(held).map(|(id, _)| *id).collect();
+        if !held.is_empty() {
+            let (waited, unheard) = self.acquaintance.progress(now, self.owners.live());
+            out.push(Action::Note(Note::Acquainted {
+                waited,
+                held: held.len(),
+                unheard,
+            }));
+        }
+        for id in held {
+            match self.hold_for(id, out) {
+                Hold::None | Hold::Unacquainted => self.release(now, id, out),
+                hold => self.hold(id, hold),
+            }
+        }
+    }
+
+    fn hold(&mut self, id: JobId, hold: Hold) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.hold = hold;
+        }
+    }
+
+    /// Asks another entry for those of the jobs it announced that are held here since this entry woke.
+    pub(super) fn hold_announced(&mut self, jobs: &[JobId], out: &mut Vec<Action>) {
+        for id in jobs {
+            let held = self.jobs.get(id).map(|job| &job.hold);
+            if held == Some(&Hold::Unacquainted) {
+                let hold = self.hold_for(*id, out);
+                self.hold(*id, hold);
+            }
+        }
+    }
+
     /// Makes a held job ready, unless earlier runs of it are still being stopped here.
     pub(super) fn release(&mut self, now: Uptime, id: JobId, out: &mut Vec<Action>) {
         self.owners.released(id);
--- a/crates/core/src/pool/scheduler/note.rs
+++ b/crates/core/src/pool/scheduler/note.rs
@@ -272,4 +272,14 @@
         /// Number of jobs that were aborted.
         jobs: usize,
     },
+    /// The jobs held since the stall were released: the jobs of the other entries are known, or are
+    /// not waited for any longer.
+    Acquainted {
+        /// Time since the stall.
+        waited: Duration,
+        /// Number of jobs that were held.
+        held: usize,
+        /// Number of live entries that were not heard from.
+        unheard: usize,
+    },
 }
--- a/crates/core/src/pool/scheduler/open_job.rs
+++ b/crates/core/src/pool/scheduler/open_job.rs
@@ -52,6 +52,8 @@
     Yield(Name),
     /// Earlier runs of it are being stopped at this entry.
     Stopping,
+    /// Another entry may run it: this one has stood still and does not know their jobs yet.
+    Unacquainted,
 }
 
 /// A job that is not answered yet.
--- a/crates/core/src/pool/scheduler/peers.rs
+++ b/crates/core/src/pool/scheduler/peers.rs
@@ -31,16 +31,26 @@
     /// sign that its runs have ended.
     pub fn set_live_entries(&mut self, entries: IndexSet<Name>) {
         self.owners.set_live(entries);
+        self.acquaintance.members_known();
     }
 
-    /// Handles a new link to another entry: announces all open jobs and repeats the requests to yield,
-    /// since both may have been lost with an earlier link.
+    /// Returns whether this entry has heard which jobs the other entries run since it started, or does
+    /// not wait for them any longer. Until then it has to take no requests.
+    pub fn is_acquainted(&mut self, now: Uptime) -> bool {
+        self.acquaintance.is_complete(now, self.owners.live())
+    }
+
+    /// Handles a new link to another entry: announces all jobs that may have runs and repeats the
+    /// requests to yield, since both may have been lost with an earlier link. The announcement is sent
+    /// also if there are none, since the other entry may wait for it.
     pub fn peer_up(&mut self, entry: &Name, out: &mut Vec<Action>) {
         self.owners.link_up(entry);
-        let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
-        if !jobs.is_empty() {
-            out.push(Action::Peer(entry.clone(), Peer::JobsStarted { jobs }));
-        }
+        self.acquaintance.link_up(entry);
+        let stopping = self.stopping.keys().map(|run| run.task.job);
+        let open = self.jobs.keys().copied().chain(stopping);
+        let jobs: IndexSet<JobId> = open.chain(self.awaited.keys().copied()).collect();
+        let jobs = jobs.into_iter().collect();
+        out.push(Action::Peer(entry.clone(), Peer::JobsStarted { jobs }));
         let hold = Hold::Yield(entry.clone());
         let held = self.jobs.iter().filter(|(_, job)| job.hold == hold);
         let awaited = self.awaited.iter().filter(|(_, other)| *other == entry);
@@ -52,6 +62,7 @@
     /// Handles the loss of the link to another entry.
     pub fn peer_down(&mut self, now: Uptime, entry: &Name) {
         self.owners.link_down(now, entry);
+        self.acquaintance.link_down(entry);
         self.yield_requests
             .retain(|request| request.entry != *entry);
     }
@@ -61,7 +72,10 @@
         match msg {
             Peer::JobsStarted { jobs } => {
                 self.cancel_announced(entry, &jobs, out);
-                self.owners.on_jobs_started(now, entry, jobs);
+                self.owners.on_jobs_started(now, entry, jobs.clone());
+                self.acquaintance.on_announcement(entry);
+                self.hold_announced(&jobs, out);
+                self.release_acquainted(now, out);
             }
             Peer::Yield { job } => self.on_yield(now, entry, job, out),
             Peer::Yielded { job } => {
--- a/crates/core/tests/pool_cancels.rs
+++ b/crates/core/tests/pool_cancels.rs
@@ -121,8 +121,10 @@
         }
     }
 
+    /// Returns the messages to other entries. Announcements of no job are left out.
     fn sent(&self) -> Vec<(&str, &Peer)> {
         let sent = self.out.iter().filter_map(|action| match action {
+            Action::Peer(_, Peer::JobsStarted { jobs }) if jobs.is_empty() => None,
             Action::Peer(entry, msg) => Some((&**entry, msg)),
             _ => None,
         });
--- a/crates/core/tests/pool_scheduler.rs
+++ b/crates/core/tests/pool_scheduler.rs
@@ -133,8 +133,10 @@
         starts.collect()
     }
 
+    /// Returns the messages to other entries. Announcements of no job are left out.
     fn peer_msgs(&self) -> Vec<(Name, Peer)> {
         let msgs = self.out.iter().filter_map(|action| match action {
+            Action::Peer(_, Peer::JobsStarted { jobs }) if jobs.is_empty() => None,
             Action::Peer(entry, msg) => Some((entry.clone(), msg.clone())),
             _ => None,
         });
--- a/crates/entry/src/pooled/notes.rs
+++ b/crates/entry/src/pooled/notes.rs
@@ -194,6 +194,14 @@
         Note::Stalled { time, jobs } => {
             log::warn!(time_ms = ms(*time), jobs = jobs; "process was suspended; jobs aborted");
         }
+        Note::Acquainted {
+            waited,
+            held,
+            unheard,
+        } => {
+            log::info!(waited_ms = ms(*waited), held = held, unheard = unheard;
+                "jobs released that waited for word of the other entries");
+        }
     }
 }
 
