Entry: a new process listens once it knows the other entries' jobs

Cause: the entry listened as soon as it had a catalogue. The member list of the same message was handed on later, and the links came up later still, so that a cancel found nobody to ask.

Evidence: in the logs "cancel answered" Unknown with waited_ms 0 comes before "link up" to the other entry.

--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -187,11 +187,12 @@
         let now = clock::uptime();
         daemon.scheduler.observe(now, &mut out);
         while let Ok(event) = rx.try_recv() {
-            daemon.on_thread_event(now, event, &mut out)?;
+            daemon.on_thread_event(now, event, &mut out);
         }
         for event in events.drain(..) {
             daemon.on_net(now, event, &mut out);
         }
+        daemon.listen_when_acquainted(now)?;
         daemon.scheduler.place_waiting(now, &mut out);
         daemon.tick(now, &mut events, &mut out);
         daemon.apply(now, &mut out);
@@ -216,7 +217,8 @@
     /// Queues of the catalogue in force; `None` before the first catalogue.
     queues: Option<Arc<QueueTable>>,
     /// Address for callers, until the entry listens on it. It does so only once a catalogue is in
-    /// force, since callers retry when they cannot connect but take a refusal as final.
+    /// force, since callers retry when they cannot connect but take a refusal as final, and the jobs
+    /// of the other entries are known, since it would start or deny jobs that run there.
     pending_listen: Option<SocketAddr>,
     /// Version of the catalogue in force; 0 before the first.
     catalog_version: u64,
@@ -253,22 +255,13 @@
         now >= since + DRAIN_TIME && idle || now >= since + DRAIN_LIMIT
     }
 
-    fn on_thread_event(
-        &mut self,
-        now: Uptime,
-        event: ThreadEvent,
-        out: &mut Vec<Action>,
-    ) -> Result<(), EntryError> {
+    fn on_thread_event(&mut self, now: Uptime, event: ThreadEvent, out: &mut Vec<Action>) {
         match event {
             ThreadEvent::Cluster(ClusterEvent::State(state)) => {
                 // Before the entry listens: no run of a new process is sent to an evacuated domain.
                 self.on_evacuated(now, state.evacuated.keys().cloned().collect(), out);
                 if let Some(catalog) = &state.catalog {
                     self.on_catalog(catalog);
-                    if let Some(addr) = self.pending_listen.take() {
-                        let listening = self.net.listen(addr, Accepts::Http(CALLERS_TAG));
-                        listening.map_err(error_at("listen for callers"))?;
-                    }
                 }
             }
             ThreadEvent::Cluster(ClusterEvent::Members(members)) => self.on_members(now, &members),
@@ -280,6 +273,21 @@
             }
             ThreadEvent::Reload => self.next_reload = now,
         }
+    }
+
+    /// Listens for callers once a catalogue is in force and the jobs of the other entries are known.
+    fn listen_when_acquainted(&mut self, now: Uptime) -> Result<(), EntryError> {
+        if self.pending_listen.is_none()
+            || self.queues.is_none()
+            || !self.scheduler.is_acquainted(now)
+        {
+            return Ok(());
+        }
+        if let Some(addr) = self.pending_listen.take() {
+            let listening = self.net.listen(addr, Accepts::Http(CALLERS_TAG));
+            listening.map_err(error_at("listen for callers"))?;
+            log::info!(version = self.catalog_version; "listening for callers");
+        }
         Ok(())
     }
 
--- a/crates/host/src/cluster.rs
+++ b/crates/host/src/cluster.rs
@@ -38,7 +38,9 @@
 const STARTUP_DOUBLINGS: u32 = 4;
 /// Size of the receive buffer; longer datagrams are truncated and fail authentication.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
-
+/// Maximum time for which a fetched configuration waits until the member list that came with it is
+/// published. Several times [`TICK`].
+const MERGE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of evacuated failure domains that a log line names.
 const LOGGED_DOMAINS: usize = 8;
 
@@ -318,15 +320,17 @@
 }
 
 impl MembershipLoop {
-    fn run(mut self, fetched: &Receiver<Vec<Member>>) {
+    fn run(mut self, fetched: &Receiver<FetchedMembers>) {
         let mut buf = vec![0; MAX_DATAGRAM_BYTES];
         loop {
             if let Ok((len, from)) = self.socket.recv_from(&mut buf) {
                 self.on_datagram(from, &buf[..len]);
             }
             let now = Instant::now();
-            while let Ok(members) = fetched.try_recv() {
+            let mut merged = Vec::new();
+            while let Ok(FetchedMembers { members, done }) = fetched.try_recv() {
                 self.members.merge(now, members);
+                merged.push(done);
             }
             while let Ok(command) = self.rx.try_recv() {
                 self.on_command(command);
@@ -334,6 +338,9 @@
             let out = self.members.tick(now);
             self.send(out);
             self.publish();
+            for done in merged {
+                let _ = done.send(());
+            }
         }
     }
 
@@ -440,6 +447,13 @@
     wants_members: bool,
 }
 
+/// A member list from another process.
+struct FetchedMembers {
+    members: Vec<Member>,
+    /// Signalled once the list is merged and published.
+    done: Sender<()>,
+}
+
 /// State of the fetch thread.
 struct Fetcher {
     cluster: Cluster,
@@ -451,14 +465,19 @@
 }
 
 impl Fetcher {
-    fn run(self, members_tx: &Sender<Vec<Member>>) {
+    fn run(self, members_tx: &Sender<FetchedMembers>) {
         while let Ok(fetch) = self.rx.recv() {
             let current = self.cluster.state().map_or(0, |state| state.revision);
             // The member list is sent only in reply to revision 0.
             let revision = if fetch.wants_members { 0 } else { current };
             match ask(fetch.from, &self.key, &self.hello, Ask::Sync { revision }) {
                 Ok(AskReply::Sync { state, members }) => {
-                    let _ = members_tx.send(members);
+                    // The members come first: who acts on the configuration has to know the others.
+                    if !members.is_empty() {
+                        let (done, merged) = flume::bounded(1);
+                        let _ = members_tx.send(FetchedMembers { members, done });
+                        let _ = merged.recv_timeout(MERGE_TIMEOUT);
+                    }
                     if let Some(state) = state.filter(|_| self.fetches_config) {
                         self.apply(state);
                     }
