HTTP: requests sent ahead do not keep other callers out

What callers saw: while 60 connections sent requests ahead, the operators of a control node were refused a connection, for 4.4 to 4.8 s on an idle machine and over 30 s beside 24 busy processes.

Cause: the next request of a connection was read before new connections were accepted, so that each of the 39 connections was in progress at each accept. Those are never closed; the new one was refused. It ended only when the responses had filled the buffers of the crowd. Found by printing what an ordinary request got: `unexpected end of file` each time.

Change: while all connections of callers are taken, one that has sent its next request already is closed after its present response.

--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -220,7 +220,12 @@
 
     /// Queues the response to the request in progress on a connection.
     pub fn respond(&mut self, id: ConnId, response: &HttpResponse) {
+        let is_full = self.conns.len() >= self.strangers.limits.conns;
         if let Some(conn) = self.conns.get_mut(&id) {
+            // A caller that always has the next request ready would never make room for another.
+            if is_full && conn.has_further_requests() {
+                conn.set_last_request();
+            }
             conn.respond(response);
             self.dirty.push(id);
         }
--- a/crates/host/src/net/conn.rs
+++ b/crates/host/src/net/conn.rs
@@ -215,6 +215,11 @@
         }
     }
 
+    /// Returns whether input has arrived behind the request in progress.
+    pub(super) fn has_further_requests(&self) -> bool {
+        self.unread || self.is_midway()
+    }
+
     pub(super) fn is_idle_http(&self) -> bool {
         matches!(self.kind, ConnKind::Http(_)) && !self.is_serving() && !self.is_midway()
     }
