HTTP: a connection makes room only after its input was looked at

Cause: at the limit on connections the newest of those that sent equally recently makes room. New ones were accepted before the input of the open ones was read, and all that waited at once, so that the job's connection was the newest when the crowd's came, with its request unread. The entry's log has `connections closed` and no `job accepted` for it. The previous crowd still counted as sending, since its bytes wait in the kernel.

Reading at accept was tried and reverted: a caller that has disconnected is not noticed then (gone_callers failed).

Change: listeners are served after the open connections, and accept nothing at the limit while there is a connection of which no event has told yet.

--- a/crates/host/src/net.rs
+++ b/crates/host/src/net.rs
@@ -112,6 +112,8 @@
     limits: HttpLimits,
     /// Connections to write to and to parse input of at the next poll; may contain duplicates.
     dirty: Vec<ConnId>,
+    /// Listeners that have connections to accept at the next poll.
+    waiting_listeners: Vec<usize>,
     strangers: Strangers,
     filter: Option<Box<dyn BodyFilter>>,
 }
@@ -138,6 +140,7 @@
             hello,
             limits: HttpLimits::default(),
             dirty: Vec::new(),
+            waiting_listeners: Vec::new(),
             strangers: Strangers::new(StrangerLimits::new(&MachineLimits::default(), max_conns)),
             filter: None,
         };
@@ -303,11 +306,8 @@
     pub fn poll(&mut self, timeout: Duration, out: &mut Vec<NetEvent>) -> io::Result<()> {
         self.strangers.delivered = 0;
         self.flush(out);
-        let timeout = if out.is_empty() && self.dirty.is_empty() {
-            timeout
-        } else {
-            Duration::ZERO
-        };
+        let is_idle = out.is_empty() && self.dirty.is_empty() && self.waiting_listeners.is_empty();
+        let timeout = if is_idle { timeout } else { Duration::ZERO };
         match self.poll.poll(&mut self.events, Some(timeout)) {
             Ok(()) => {}
             Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(()),
@@ -315,21 +315,32 @@
         }
         let ready: Vec<Ready> = self.events.iter().map(Ready::of).collect();
         let now = crate::clock::uptime();
+        // Listeners come last: what has arrived is read before a connection makes room for a new one.
+        let mut accepting = std::mem::take(&mut self.waiting_listeners);
         for ready in ready {
             let token = ready.token;
             if token == WAKER_TOKEN.0 {
                 out.push(NetEvent::Woken);
             } else if self.listeners.contains_key(&token) {
-                self.accept(now, token, out);
+                if !accepting.contains(&token) {
+                    accepting.push(token);
+                }
             } else {
                 self.on_ready(now, &ready, out);
             }
         }
+        for token in accepting {
+            self.accept(now, token, out);
+        }
         Ok(())
     }
 
     fn accept(&mut self, now: Uptime, token: usize, out: &mut Vec<NetEvent>) {
         loop {
+            if self.has_unheard_conn_when_full() {
+                self.waiting_listeners.push(token);
+                return;
+            }
             let Some((listener, accepts)) = self.listeners.get(&token) else {
                 return;
             };
@@ -366,6 +377,7 @@
         if !conn.opened && writable {
             conn.opened = conn.stream.peer_addr().is_ok();
         }
+        conn.heard = true;
         conn.half_closed |= ready.half_closed;
         let mut open = true;
         let mut read = false;
--- a/crates/host/src/net/conn.rs
+++ b/crates/host/src/net/conn.rs
@@ -64,6 +64,8 @@
     pub(super) kind: ConnKind,
     /// Whether the connection has been established.
     pub(super) opened: bool,
+    /// Whether an event has told of the connection, and with it of what arrived before.
+    pub(super) heard: bool,
     /// Whether the connection has failed and is to be ended.
     pub(super) broken: bool,
     pub(super) peer: SocketAddr,
@@ -116,6 +118,7 @@
             stream,
             kind,
             opened: false,
+            heard: false,
             broken: false,
             peer,
             input: Vec::new(),
--- a/crates/host/src/net/strangers.rs
+++ b/crates/host/src/net/strangers.rs
@@ -109,6 +109,16 @@
         }
     }
 
+    /// Returns whether room for a new connection has to be made, and there is a connection that would
+    /// be closed for it before its input was looked at.
+    pub(super) fn has_unheard_conn_when_full(&self) -> bool {
+        self.conns.len() >= self.strangers.limits.conns
+            && self
+                .conns
+                .values()
+                .any(|conn| conn.is_stranger() && !conn.heard)
+    }
+
     /// Returns whether a new connection may be accepted, if need be after closing others.
     pub(super) fn make_room_for_conn(&mut self, now: Uptime, out: &mut Vec<NetEvent>) -> bool {
         let limits = self.strangers.limits;
--- a/crates/host/tests/full_house.rs
+++ b/crates/host/tests/full_house.rs
@@ -41,6 +41,31 @@
     streams
 }
 
+/// The request of a job was lost: its connection was closed for further ones before it was read.
+#[test]
+fn a_request_that_has_arrived_is_read_before_its_connection_makes_room_for_others() {
+    let (mut net, addr) = start_net();
+    let others = connect(&mut net, addr, MAX_CALLERS - 1, b"G");
+    let mut callers = connect(&mut net, addr, 1, b"");
+    let newcomer = TcpStream::connect(addr).expect("connect succeeds");
+    callers[0].write_all(REQUEST).expect("request is sent");
+    assert_eq!(serve(&mut net), ["/a"]);
+    drop((others, newcomer));
+}
+
+/// As above; here the further connections are accepted together with it.
+#[test]
+fn a_request_that_arrived_with_its_connection_is_read_before_others_are_accepted() {
+    let (mut net, addr) = start_net();
+    let others = connect(&mut net, addr, MAX_CALLERS - 1, b"G");
+    let mut caller = TcpStream::connect(addr).expect("connect succeeds");
+    caller.write_all(REQUEST).expect("request is sent");
+    let newcomers = [(); 3].map(|()| TcpStream::connect(addr).expect("connect succeeds"));
+    let paths: Vec<_> = (0..3).flat_map(|_| serve(&mut net)).collect();
+    assert_eq!(paths, ["/a"]);
+    drop((others, newcomers));
+}
+
 /// Callers that always had the next request ready kept everyone else out until their output was full.
 #[test]
 fn callers_that_send_requests_ahead_do_not_keep_others_out() {
