Agent: a task starts only on a worker of its pool and with its label

Cause: only the entry compared task and worker, by what it had last heard. It handled the request that waited in its socket before the agent's news, and the message that starts a run named neither pool nor label.

Ruled out: handling messages before requests in the entry, which leaves the window open where the news is still on its way.

Change: the message carries the pool and the label. The agent refuses runs that its worker does not suit (OtherKind), also queued ones when the worker changes.

--- a/crates/core/src/pool/driver/records.rs
+++ b/crates/core/src/pool/driver/records.rs
@@ -5,7 +5,7 @@
 
 use super::super::Uptime;
 use super::super::job::{EndEvidence, Resources, RunEnd};
-use super::super::msg::{CapacityReport, WorkerInfo};
+use super::super::msg::{CapacityReport, Requirements, WorkerInfo};
 use super::super::room::{Claim, News};
 use super::call::{Call, CallTarget};
 use super::speed::Progress;
@@ -33,6 +33,8 @@
     pub(super) owner: Option<NodeRef>,
     pub(super) state: State,
     pub(super) needs: Resources,
+    /// What its worker must be, as long as it was not sent to one.
+    pub(super) requires: Requirements,
     pub(super) estimate: Duration,
     pub(super) payload: Arc<str>,
     /// When the job's aim is missed. Queued runs are started in this order.
--- a/crates/core/src/pool/driver/starts.rs
+++ b/crates/core/src/pool/driver/starts.rs
@@ -2,7 +2,7 @@
 
 use super::super::Uptime;
 use super::super::job::{EndEvidence, RunEnd, RunId};
-use super::super::msg::{NotStarted, Start};
+use super::super::msg::{NotStarted, Requirements, Start};
 use super::super::room::Claim;
 use super::speed::Progress;
 use super::{
@@ -71,6 +71,7 @@
     /// Starts the queued runs that fit, in order of their due time, and refuses those that have
     /// waited too long.
     pub(super) fn start_queued(&mut self, now: Uptime, out: &mut Vec<Action>) {
+        self.refuse_unsuited(out);
         if !self.accepts_runs() {
             return;
         }
@@ -98,6 +99,21 @@
         self.refuse_overdue(now, out);
     }
 
+    /// Refuses the queued runs that were meant for a worker of another kind.
+    fn refuse_unsuited(&mut self, out: &mut Vec<Action>) {
+        let Some(worker) = &self.worker else { return };
+        let unsuited = |run: &Run| {
+            let Requirements { pool, label } = &run.requires;
+            run.state == State::Queued && !worker.info.suits(pool, label.as_ref())
+        };
+        let runs = self.runs.iter().filter(|(_, run)| unsuited(run));
+        let runs: Vec<RunId> = runs.map(|(id, _)| *id).collect();
+        for run in runs {
+            self.refuse(run, NotStarted::OtherKind, out);
+            self.use_reservation(run.task, out);
+        }
+    }
+
     /// Sends the start of a queued run. `clock` is a lower bound of the worker's present clock
     /// in milliseconds.
     fn send_start(&mut self, now: Uptime, id: RunId, clock: u64, out: &mut Vec<Action>) {
@@ -290,6 +306,7 @@
             owner: Some(owner),
             state: State::Queued,
             needs: start.needs,
+            requires: start.requires,
             estimate,
             payload: start.payload,
             due: now + Duration::from_millis(start.due_ms.into()),
@@ -319,6 +336,7 @@
             owner: None,
             state: State::Running,
             needs: super::Resources::default(),
+            requires: Requirements::default(),
             estimate: Duration::ZERO,
             payload: "".into(),
             due: now,
--- a/crates/core/src/pool/fleet.rs
+++ b/crates/core/src/pool/fleet.rs
@@ -115,6 +115,14 @@
             .is_some_and(|info| info.pool.as_ref() == Some(pool))
     }
 
+    /// Returns whether it is of the kind that the task requires.
+    fn suits(&self, need: choice::Need<'_>) -> bool {
+        let label = need.step.label.as_ref();
+        self.info
+            .as_ref()
+            .is_some_and(|info| info.suits(need.pool, label))
+    }
+
     fn has_label(&self, label: &Name) -> bool {
         self.info
             .as_ref()
--- a/crates/core/src/pool/fleet/choice.rs
+++ b/crates/core/src/pool/fleet/choice.rs
@@ -187,8 +187,7 @@
     /// Returns whether it accepts runs and suits the task, whatever its room.
     pub(super) fn may_start(&self, now: Uptime, need: Need<'_>) -> bool {
         self.accepts_runs(now)
-            && self.serves(need.pool)
-            && need.step.label.as_ref().is_none_or(|l| self.has_label(l))
+            && self.suits(need)
             && self.may_be_tried(now)
             && self.is_warm_enough(now)
     }
--- a/crates/core/src/pool/fleet/evacuated.rs
+++ b/crates/core/src/pool/fleet/evacuated.rs
@@ -12,8 +12,7 @@
 impl WorkerInfo {
     /// Returns whether an idle worker of this description could run a task of the step.
     pub(super) fn could_run(&self, pool: &Name, step: &Step) -> bool {
-        let labelled = step.label.as_ref().is_none_or(|l| self.labels.contains(l));
-        self.pool.as_ref() == Some(pool) && labelled && step.needs.fits(self.capacity)
+        self.suits(pool, step.label.as_ref()) && step.needs.fits(self.capacity)
     }
 }
 
--- a/crates/core/src/pool/msg.rs
+++ b/crates/core/src/pool/msg.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-use super::job::{EndEvidence, JobId, Resources, RunEnd, RunId, TaskId};
+use super::job::{EndEvidence, JobId, Resources, RunEnd, RunId, Step, TaskId};
 use super::lookahead::{Forecast, Reservation};
 use super::shares::LoadReport;
 use crate::ids::Name;
@@ -79,6 +79,9 @@
     pub run: RunId,
     /// Resources that it needs.
     pub needs: Resources,
+    /// What the worker must be. The agent checks it again: its worker may have been replaced since
+    /// the entry chose it.
+    pub requires: Requirements,
     /// Estimated run time in milliseconds.
     pub estimate_ms: u32,
     /// Milliseconds until the job's aim is missed; agents order queued runs by it.
@@ -92,11 +95,32 @@
     pub payload: Arc<str>,
 }
 
+/// What a worker must be to run a task, whatever its room.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Requirements {
+    /// The pool that it must serve.
+    pub pool: Name,
+    /// A label that it must have.
+    pub label: Option<Name>,
+}
+
+impl Requirements {
+    /// Returns those of a task of the step, whose queue is served by the pool.
+    pub fn of(pool: &Name, step: &Step) -> Self {
+        Self {
+            pool: pool.clone(),
+            label: step.label.clone(),
+        }
+    }
+}
+
 /// Why a run was not started.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum NotStarted {
     /// The worker is draining, unresponsive or unknown, or the agent is shutting down.
     NoWorker,
+    /// The worker serves another pool or lacks the label that the task requires.
+    OtherKind,
     /// The worker refused it because it is unhealthy.
     Unhealthy,
     /// The worker has no capacity, and none is expected in time.
@@ -126,6 +150,11 @@
 const MAX_LISTED_NAME_BYTES: usize = 400;
 
 impl WorkerInfo {
+    /// Returns whether the worker serves the pool and has the label, if one is required.
+    pub fn suits(&self, pool: &Name, label: Option<&Name>) -> bool {
+        self.pool.as_ref() == Some(pool) && label.is_none_or(|label| self.labels.contains(label))
+    }
+
     /// Returns whether the description is short enough for the member list.
     pub fn fits_member_list(&self) -> bool {
         let names = self.pool.iter().chain(&self.labels);
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -2,7 +2,7 @@
 
 use super::super::fleet::Need;
 use super::super::job::{Resources, Step, TaskId};
-use super::super::msg::{Start, ToAgent};
+use super::super::msg::{Requirements, Start, ToAgent};
 use super::super::overload::due_time;
 use super::super::reach::Shortage;
 use super::super::{Uptime, millis};
@@ -208,6 +208,7 @@
             let start = Start {
                 run,
                 needs: step.needs,
+                requires: Requirements::of(&job.queue.pool, &step),
                 estimate_ms: millis(step.estimate),
                 due_ms: millis(due_time(job.rank.0, job.aim.saturating_sub(now))),
                 max_queue_ms: match candidates {
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -132,7 +132,9 @@
         }
         match reason {
             NotStarted::NoRoom => self.fleet.capacity_refused(name),
-            NotStarted::NoWorker | NotStarted::Unhealthy => self.fleet.start_refused(now, name),
+            NotStarted::NoWorker | NotStarted::OtherKind | NotStarted::Unhealthy => {
+                self.fleet.start_refused(now, name);
+            }
             NotStarted::OldAttempt => {
                 if let Some(job) = self.jobs.get_mut(&run.task.job) {
                     for task in &mut job.tasks {
--- a/crates/core/tests/support/driver.rs
+++ b/crates/core/tests/support/driver.rs
@@ -11,7 +11,7 @@
     Action, Call, Driver, EndedRow, Heartbeat, HeartbeatState, Reply, RunningRow,
 };
 use rw_core::pool::job::{JobId, Resources, RunEnd, RunId, TaskId};
-use rw_core::pool::msg::{NotStarted, Start, ToAgent, ToEntry};
+use rw_core::pool::msg::{NotStarted, Requirements, Start, ToAgent, ToEntry};
 
 /// One millisecond.
 pub const MS: Duration = Duration::from_millis(1);
@@ -128,9 +128,17 @@
     }
 
     pub fn start(&mut self, run: RunId, cpu: u32, max_queue_ms: u32) {
+        self.start_labelled(run, cpu, max_queue_ms, None);
+    }
+
+    pub fn start_labelled(&mut self, run: RunId, cpu: u32, max_queue_ms: u32, label: Option<&str>) {
         self.receive(ToAgent::Start(Start {
             run,
             needs: needs(cpu),
+            requires: Requirements {
+                pool: "p".into(),
+                label: label.map(Into::into),
+            },
             estimate_ms: 100,
             due_ms: 100,
             max_queue_ms,
