Entry: jobs that would not be completed before its end are returned as not run

Cause: nothing told the scheduler that its process ends. Also, a waiting job counted as one that may run: its start was sent again in the same millisecond in which the agent refused it, and refusals for other reasons than room were never counted as not run.

Weighed: returning all waiting jobs when the listener closes, which takes their turn from jobs that still find room.

Change: jobs without a run whose critical path does not fit into the time left are returned as not run, also new ones; their tasks are not sent again meanwhile; refusals before a worker was called count as not run.

--- a/crates/core/src/pool/scheduler.rs
+++ b/crates/core/src/pool/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod cancels;
 mod contention;
+mod ending;
 mod evacuation;
 mod explain;
 mod holds;
@@ -99,6 +100,8 @@
     queues: QueueRanks,
     next_ranking: Uptime,
     reservations: Reservations,
+    /// When the process ends, once it is shutting down.
+    ends_at: Option<Uptime>,
     last_observed: Uptime,
     rng: Rng,
 }
@@ -128,6 +131,7 @@
             queues: QueueRanks::default(),
             next_ranking: now,
             reservations: Reservations::default(),
+            ends_at: None,
             last_observed: now,
             rng,
         }
@@ -243,14 +247,15 @@
             Self::decline(caller, &spec, Answer::Failed(reason), reason, out);
             return;
         }
-        if self.waits_for_evacuated(&queue.pool, &spec) {
-            Self::decline(
-                caller,
-                &spec,
-                evacuation::refusal(),
-                evacuation::REASON,
-                out,
-            );
+        let refusal = if self.waits_for_evacuated(&queue.pool, &spec) {
+            Some((evacuation::refusal(), evacuation::REASON))
+        } else if self.ends_before(now, &spec) {
+            Some((ending::refusal(), ending::REASON))
+        } else {
+            None
+        };
+        if let Some((answer, reason)) = refusal {
+            Self::decline(caller, &spec, answer, reason, out);
             return;
         }
         let hold = if self.acquaintance.holds_jobs(now, self.owners.live()) {
@@ -312,6 +317,7 @@
                 failures: 0,
                 moves: 0,
                 waiting_since: now,
+                sent_at: now,
                 basis: Basis::default(),
             }));
         }
@@ -452,6 +458,7 @@
         self.release_holds(now, out);
         self.settle_cancels(now, out);
         self.answer_overdue(now, out);
+        self.return_jobs(now, out);
         self.place_all(now, out);
         self.refuse_hopeless(now, out);
         self.report_load(now, out);
--- a/crates/core/src/pool/scheduler/open_job.rs
+++ b/crates/core/src/pool/scheduler/open_job.rs
@@ -12,6 +12,9 @@
 use super::super::{MAX_TIME, Uptime, scaled};
 use crate::ids::Name;
 
+/// Time in which an agent refuses a run that finds no room, with the way of the messages.
+const MAX_REFUSAL_TIME: Duration = Duration::from_millis(250);
+
 /// State of a task.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum TaskState {
@@ -39,6 +42,8 @@
     /// Number of runs that were stopped to start again on another worker.
     pub(super) moves: u32,
     pub(super) waiting_since: Uptime,
+    /// When the latest run was sent.
+    pub(super) sent_at: Uptime,
     /// Why room was expected for the latest run.
     pub(super) basis: Basis,
 }
@@ -74,7 +79,7 @@
     pub(super) left: Vec<u16>,
     /// Number of starts sent to agents.
     pub(super) starts: u32,
-    /// Number of those that agents refused for want of room, which certainly did not run.
+    /// Number of those that agents refused before they called a worker, which certainly did not run.
     pub(super) refused_starts: u32,
     pub(super) rank: Rank,
     pub(super) size: SizeClass,
@@ -117,6 +122,16 @@
         self.starts > self.refused_starts
     }
 
+    /// Returns whether a task is done or was sent so long ago that it does not wait at an agent any
+    /// more.
+    pub(super) fn has_run(&self, now: Uptime) -> bool {
+        self.tasks.iter().any(|task| match task.state {
+            TaskState::Waiting => false,
+            TaskState::Sent { .. } => now >= task.sent_at + MAX_REFUSAL_TIME,
+            TaskState::Done => true,
+        })
+    }
+
     /// Returns whether a task is at a worker or done.
     pub(super) fn is_begun(&self) -> bool {
         self.tasks
--- a/crates/core/src/pool/scheduler/place.rs
+++ b/crates/core/src/pool/scheduler/place.rs
@@ -140,7 +140,8 @@
         most_free: Resources,
         out: &mut Vec<Action>,
     ) -> Option<Resources> {
-        let job = self.jobs.get_mut(&id)?;
+        let is_to_be_returned = self.is_to_be_returned(now, id);
+        let job = self.jobs.get_mut(&id).filter(|_| !is_to_be_returned)?;
         let mut missed = None;
         let mut runs = Vec::new();
         for i in 0..job.tasks.len() {
@@ -187,6 +188,7 @@
                 worker: choice.worker.clone(),
                 stopping: false,
             };
+            task.sent_at = now;
             task.basis = choice.basis;
             let waited = now.saturating_sub(task.waiting_since);
             job.starts += 1;
--- a/crates/core/src/pool/scheduler/runs.rs
+++ b/crates/core/src/pool/scheduler/runs.rs
@@ -170,8 +170,12 @@
         let Some(job) = self.jobs.get_mut(&run.task.job) else {
             return;
         };
-        if reason == NotStarted::NoRoom {
-            job.refused_starts += 1;
+        match reason {
+            NotStarted::NoRoom
+            | NotStarted::NoWorker
+            | NotStarted::OtherKind
+            | NotStarted::Unhealthy => job.refused_starts += 1,
+            NotStarted::OldAttempt | NotStarted::Unanswered | NotStarted::Malformed => {}
         }
         let step = job.spec.steps.get(usize::from(run.task.step));
         let work = step.map_or(0.0, Step::work);
--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -268,6 +268,7 @@
             ThreadEvent::Shutdown => {
                 log::info!(open_jobs = self.scheduler.open_jobs(); "entry draining");
                 self.draining_since = Some(now);
+                self.scheduler.set_end(now + DRAIN_LIMIT);
                 self.cluster.set_leaving();
                 self.net.close_after_next_response();
             }
