--- a/crates/core/src/pool/scheduler/open_job.rs
+++ b/crates/core/src/pool/scheduler/open_job.rs
@@ -79,7 +79,7 @@
     pub(super) left: Vec<u16>,
     /// Number of starts sent to agents.
     pub(super) starts: u32,
-    /// Number of those that agents refused before they called a worker, which certainly did not run.
+    /// Number of those that the agent or its worker refused, which certainly did not run.
     pub(super) refused_starts: u32,
     pub(super) rank: Rank,
     pub(super) size: SizeClass,
