Entry: ready only once it listens for callers

What callers saw: connections refused at an entry that had started and stated that it was ready, for up to 1 s.

Cause: since an entry listens only once it knows the other entries' jobs. Readiness still asked for a catalogue only.

Evidence: the test's entry was ready and its port refused. With another entry that stands still it is so each time.

Change: an entry that does not listen for callers yet is not ready.

--- a/crates/entry/src/pooled.rs
+++ b/crates/entry/src/pooled.rs
@@ -435,7 +435,7 @@
             } else {
                 IDLE_TICK
             };
-        let ready = self.queues.is_some()
+        let ready = self.pending_listen.is_none()
             && self.scheduler.fleet().any_accepts_runs(now)
             && self.draining_since.is_none();
         if ready != self.ready {
