--- a/crates/load/tests/faults.rs
+++ b/crates/load/tests/faults.rs
@@ -99,7 +99,14 @@
     let mut cluster = start(ClusterPlan::default());
     let (key, job) = (new_key(), job(60, 200));
     let first = submit_later(&cluster, "e0", key, &job);
-    std::thread::sleep(Duration::from_millis(300));
+    let has_started = |cluster: &TestCluster| cluster.starts_at("b1") > 0;
+    cluster
+        .wait_for(
+            Duration::from_secs(10),
+            "a task runs at the worker",
+            has_started,
+        )
+        .unwrap();
     cluster.kill("w1");
     cluster.start_node("w1").unwrap();
     let outcome = first.join().unwrap();
