--- a/review/harness-3/src/cluster.rs
+++ b/review/harness-3/src/cluster.rs
@@ -42,6 +42,7 @@
 pub struct Cluster {
     pub folder: PathBuf,
     net: [u8; 2],
+    _mark: TcpListener,
     pub control: Vec<Process>,
     pub entries: Vec<Process>,
     pub agents: Vec<Process>,
@@ -59,11 +60,16 @@
     }
 }
 
-fn free_net() -> [u8; 2] {
+/// Returns a loopback network that no other run uses, and the listener that marks it as taken.
+fn free_net() -> ([u8; 2], TcpListener) {
     let mut seed = std::process::id() ^ (Instant::now().elapsed().as_nanos() as u32);
     loop {
         seed = seed.wrapping_mul(1_103_515_245).wrapping_add(12_345);
         let net = [20 + ((seed >> 8) % 200) as u8, ((seed >> 16) % 250) as u8];
+        let at = |host: u8, port: u16| SocketAddr::from(([127, net[0], net[1], host], port));
+        let Ok(mark) = TcpListener::bind(at(254, 7999)) else {
+            continue;
+        };
         let ports = [
             (1, 7003),
             (1, 7010),
@@ -72,11 +78,11 @@
             (30, 7003),
             (30, 7009),
         ];
-        let free = |(host, port): &(u8, u16)| {
-            TcpListener::bind(SocketAddr::from(([127, net[0], net[1], *host], *port))).is_ok()
-        };
-        if ports.iter().all(free) {
-            return net;
+        if ports
+            .iter()
+            .all(|(h, p)| TcpListener::bind(at(*h, *p)).is_ok())
+        {
+            return (net, mark);
         }
     }
 }
@@ -102,12 +108,13 @@
         kinds: &[Kind],
         config: &str,
     ) -> Option<Self> {
-        let net = free_net();
+        let (net, mark) = free_net();
         let folder = std::env::temp_dir().join(format!("rw-review-3-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
         let mut cluster = Self {
             folder,
             net,
+            _mark: mark,
             control: Vec::new(),
             entries: Vec::new(),
             agents: Vec::new(),
