--- a/review/harness-3/src/cluster.rs
+++ b/review/harness-3/src/cluster.rs
@@ -11,7 +11,7 @@
 
 use crate::http::{self, Answer};
 use crate::record::Record;
-use crate::worker::{Kind, Worker};
+use crate::worker::{Kind, Late, Worker};
 
 /// A process of the project. It is killed when dropped.
 pub struct Process {
@@ -48,6 +48,7 @@
     pub agents: Vec<Process>,
     pub workers: Vec<Worker>,
     pub needs: Arc<Mutex<BTreeMap<String, u64>>>,
+    pub late: Arc<Mutex<Late>>,
     pub record: Arc<Record>,
 }
 
@@ -120,6 +121,7 @@
             agents: Vec::new(),
             workers: Vec::new(),
             needs: Arc::default(),
+            late: Arc::default(),
             record,
         };
         for i in 0..3 {
@@ -139,6 +141,7 @@
                 cluster.addr(host, 7009),
                 cluster.addr(host, 7003),
                 cluster.needs.clone(),
+                cluster.late.clone(),
                 cluster.record.clone(),
             );
             worker.start(kind.clone(), Duration::from_millis(300));
--- a/review/harness-3/src/worker.rs
+++ b/review/harness-3/src/worker.rs
@@ -93,6 +93,17 @@
     }
 }
 
+/// A start that a worker leaves unanswered and carries out late.
+#[derive(Clone, Debug, Default)]
+pub struct Late {
+    /// The job whose next start is meant; `None` if there is none.
+    pub job: Option<String>,
+    /// The worker that has got it, and when.
+    pub taken: Option<(String, Instant)>,
+    /// Time until it is carried out.
+    pub after: Duration,
+}
+
 struct Shared {
     id: String,
     addr: SocketAddr,
@@ -101,6 +112,8 @@
     begun: Mutex<Vec<Begun>>,
     /// CPU of each job's tasks, as the clients sent it.
     needs: Arc<Mutex<BTreeMap<String, u64>>>,
+    /// The start that is to be left unanswered and carried out late.
+    late: Arc<Mutex<Late>>,
     /// How far the time of day of its machine is off, in milliseconds.
     time_offset_ms: AtomicI64,
     lives: AtomicU64,
@@ -116,6 +129,7 @@
         addr: SocketAddr,
         agent: SocketAddr,
         needs: Arc<Mutex<BTreeMap<String, u64>>>,
+        late: Arc<Mutex<Late>>,
         record: Arc<Record>,
     ) -> Self {
         let worker = Self(Arc::new(Shared {
@@ -125,6 +139,7 @@
             life: Mutex::new(None),
             begun: Mutex::default(),
             needs,
+            late,
             time_offset_ms: AtomicI64::new(0),
             lives: AtomicU64::new(0),
             record,
@@ -299,6 +314,11 @@
                 respond(&mut stream, 421, "{}");
                 continue;
             }
+            if path == "/-/run-start" && self.is_left_late(&body) {
+                // The connection stays open, as that of a call that is still to be answered.
+                thread::sleep(Duration::from_secs(3));
+                return;
+            }
             let Some((status, answer)) = self.handle(number, &path, &body) else {
                 return;
             };
@@ -308,6 +328,41 @@
         }
     }
 
+    /// Leaves the start that is meant unanswered, and carries it out late, in whatever life the worker
+    /// is by then.
+    fn is_left_late(&self, body: &Json) -> bool {
+        let mut late = self.0.late.lock().unwrap();
+        let task = body.text("task").unwrap_or_default();
+        let is_meant = |job: &String| task.starts_with(job.as_str());
+        if !late.job.as_ref().is_some_and(is_meant) {
+            return false;
+        }
+        late.job = None;
+        late.taken = Some((self.0.id.clone(), Instant::now()));
+        let after = late.after;
+        drop(late);
+        self.0.record.line(&format!(
+            "worker {} leaves a start unanswered and carries it out {:.1} s later: {body}",
+            self.0.id,
+            after.as_secs_f64()
+        ));
+        let (worker, body) = (self.clone(), body.clone());
+        thread::spawn(move || {
+            thread::sleep(after);
+            let number = worker.life().as_ref().map_or(0, |life| life.number);
+            let answer = worker.handle(number, "/-/run-start", &body);
+            worker.0.record.line(&format!(
+                "worker {} life {number} carries the late start out: {answer:?}",
+                worker.0.id
+            ));
+        });
+        true
+    }
+
+    pub fn id(&self) -> &str {
+        &self.0.id
+    }
+
     /// `None` if this life is over.
     fn handle(&self, number: u64, path: &str, body: &Json) -> Option<(u16, String)> {
         let task = body.text("task").unwrap_or_default().to_owned();
